--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -28,11 +28,17 @@
 constexpr Seconds kStep{1};
 constexpr Seconds kAfterRejection{0.05};
 constexpr Seconds kAfterDeposition{0.5};
-constexpr int kPushThreads = 4;
-constexpr int kProbeThreads = 2;
-constexpr std::uint32_t kPage = 200;
+constexpr int kPushThreads = 12;
+constexpr int kProbeThreads = 12;
+constexpr Seconds kCountsEvery{2};
+constexpr Seconds kCountsKept{8};
+constexpr Seconds kRelayPause{2};
+constexpr double kTickShare = 0.25;  // of the time that a tick may take
+constexpr Seconds kLeastTickGap{0.05};
+constexpr std::uint32_t kPage = 500;
 constexpr char kMeshReport[] = "/mesh/report";
 constexpr char kMeshJobs[] = "/mesh/jobs";
+constexpr char kMeshCounts[] = "/mesh/counts";
 constexpr char kMeshPing[] = "/mesh/ping";
 
 void Sleep(Seconds s) { std::this_thread::sleep_for(duration<double>(s.v)); }
@@ -65,11 +71,16 @@
   o.boot_patience = s.boot_patience;
   o.headroom = s.headroom;
   o.headroom_for = s.headroom_for;
+  // The rest is for the users' submissions and cancellations.
+  constexpr double kLeadersShare = 0.75;
+  o.writes_per_s = kLeadersShare * s.write_rps;
+  for (const Member& m : s.others)
+    if (m.zone != s.zone) o.guarded_zones.insert(m.zone);
   o.notes = spdlog::should_log(spdlog::level::debug);
   return o;
 }
 
-HttpResponse Plain(int status, const char* body = "{}") { return {status, body, false}; }
+HttpResponse Plain(int status, const char* body = "{}") { return {status, body}; }
 
 }  // namespace
 
@@ -81,23 +92,24 @@
       scheduler_(CoreOptions(settings), {settings.refused_pause, settings.most_per_order}) {
   for (const Member& m : settings_.others)
     peers_[m.label] = std::make_unique<HttpClient>(m.mesh, Seconds{0.7}, kMeshTimeout, 2);
-  api_ = std::make_unique<JobApi>(store_, settings_.teams, settings_.zones,
-                                  JobApi::Hooks{[this] {
-                                                  std::lock_guard lock(types_mutex_);
-                                                  return types_;
-                                                },
-                                                [this](const JobId& id) {
-                                                  std::lock_guard lock(mutex_);
-                                                  return scheduler_.Counts(id);
-                                                },
-                                                WallNow, Pause});
+  // Polls of all controllers together take a part of the state service's rate.
+  constexpr double kPollsShare = 0.4;
+  const Seconds poll_gap{static_cast<double>(settings_.others.size() + 1) /
+                         (kPollsShare * settings_.state_rps)};
+  api_ = std::make_unique<JobApi>(
+      store_, settings_.teams, settings_.zones, poll_gap,
+      JobApi::Hooks{[this] {
+                      std::lock_guard lock(types_mutex_);
+                      return types_;
+                    },
+                    [this](const JobId& id) { return Counts(id); }, WallNow, Pause, SteadyNow});
 }
 
 bool Controller::Run() {
   const std::size_t most = settings_.sockets > 200 ? settings_.sockets / 2 : settings_.sockets / 3;
   user_server_ =
       std::make_unique<HttpServer>([this](const HttpRequest& r) { return HandleUserSide(r); },
-                                   HttpServer::Limits{.connections = most});
+                                   HttpServer::Limits{.connections = most, .few = most / 4});
   mesh_server_ =
       std::make_unique<HttpServer>([this](const HttpRequest& r) { return HandleMesh(r); },
                                    HttpServer::Limits{.connections = 32});
@@ -120,6 +132,7 @@
   start(&Controller::TickLoop);
   start(&Controller::WriteLoop);
   start(&Controller::CloudLoop);
+  start(&Controller::CountsLoop);
   for (int i = 0; i < kPushThreads; ++i) start(&Controller::PushLoop);
   for (int i = 0; i < kProbeThreads; ++i) start(&Controller::ProbeLoop);
   spdlog::info("{} serves", settings_.label);
@@ -134,7 +147,10 @@
   const bool get = request.method == "GET";
   const bool post = request.method == "POST";
   if (path == wire::kReportPath) {
-    return post ? HandleReport(request.body, false) : Plain(405, R"({"error":"use POST"})");
+    HttpResponse response =
+        post ? HandleReport(request.body, false) : Plain(405, R"({"error":"use POST"})");
+    response.brief = true;  // workers outnumber the sockets
+    return response;
   }
   if (path == wire::kHealthPath) return get ? Health() : Plain(405, R"({"error":"use GET"})");
   // Without the state service, ask a controller that may have it. It is asked
@@ -175,7 +191,7 @@
   for (auto& [label, peer] : peers_) {
     const HttpAnswer answer = peer->Post(kMeshJobs, text);
     if (!answer.answered || answer.status == 503) continue;
-    return HttpResponse{answer.status, answer.body, false};
+    return HttpResponse{answer.status, answer.body};
   }
   return std::nullopt;
 }
@@ -195,8 +211,66 @@
   return Plain(503, R"({"ok":false})");
 }
 
+// What the leader knows of the job's tasks, at first hand or a little late.
+std::optional<JobCounts> Controller::Counts(const JobId& id) {
+  {
+    std::lock_guard lock(mutex_);
+    if (scheduler_.leading()) return scheduler_.Counts(id);
+  }
+  std::lock_guard lock(counts_mutex_);
+  if (!std::exchange(counts_wanted_, true)) counts_wake_.notify_one();
+  if (SteadyNow() - counts_at_ > kCountsKept) return std::nullopt;
+  const auto it = counts_.find(id);
+  return it == counts_.end() ? JobCounts{} : it->second;
+}
+
+HttpResponse Controller::CountsForPeers() {
+  std::map<JobId, JobCounts> all;
+  {
+    std::lock_guard lock(mutex_);
+    if (!scheduler_.loaded()) return Plain(503);
+    all = scheduler_.AllCounts();
+  }
+  Json body = Json::object();
+  for (const auto& [id, counts] : all) body[id.v] = {counts.done, counts.running};
+  return {200, body.dump()};
+}
+
+// Asks the leader for the counts now and then, while users ask for them.
+void Controller::CountsLoop() {
+  for (;;) {
+    {
+      std::unique_lock lock(counts_mutex_);
+      counts_wake_.wait(lock, [this] { return counts_wanted_; });
+      counts_wanted_ = false;
+    }
+    std::string leader;
+    {
+      std::lock_guard lock(mutex_);
+      leader = leader_label_;
+    }
+    const auto peer = peers_.find(leader);
+    if (peer != peers_.end()) {
+      const HttpAnswer answer = peer->second->Get(kMeshCounts);
+      if (answer.answered && answer.status == 200) try {
+          std::map<JobId, JobCounts> counts;
+          const Json body = wire::ParseObject(answer.body);
+          for (const auto& [id, pair] : body.items())
+            counts[{id}] = {pair.at(0).get<std::uint32_t>(), pair.at(1).get<std::uint32_t>()};
+          std::lock_guard lock(counts_mutex_);
+          counts_ = std::move(counts);
+          counts_at_ = SteadyNow();
+        } catch (const std::exception& e) {
+          spdlog::warn("mesh: counts: {}", e.what());
+        }
+    }
+    Pause(kCountsEvery);
+  }
+}
+
 HttpResponse Controller::HandleMesh(const HttpRequest& request) {
   if (request.method == "GET" && request.path == kMeshPing) return Plain(200);
+  if (request.method == "GET" && request.path == kMeshCounts) return CountsForPeers();
   if (request.method == "POST" && request.path == kMeshReport)
     return HandleReport(request.body, true);
   if (request.method == "POST" && request.path == kMeshJobs) {
@@ -228,10 +302,8 @@
       const Reply reply = scheduler_.OnReport(report, SteadyNow(), relayed);
       if (reply.come_here) return Plain(421);
       if (reply.entitled) {
-        tick_due_ = true;
-        tick_wake_.notify_one();
-        write_wake_.notify_one();
-        return {200, wire::ReplyToJson(reply.token, reply.commands).dump(), false};
+        if (scheduler_.wants_tick() && !std::exchange(tick_due_, true)) tick_wake_.notify_one();
+        return {200, wire::ReplyToJson(reply.token, reply.commands).dump()};
       }
       spdlog::info("{} has seen a later token", report.machine.v);
     }
@@ -257,13 +329,46 @@
   }
   const auto peer = peers_.find(leader);
   if (peer == peers_.end()) return Plain(503);
-  if (!lost_leader) return {421, wire::RedirectToJson(leader).dump(), false};
-  const HttpAnswer answer = peer->second->Post(kMeshReport, body);
-  spdlog::debug("relayed {} to {}: {}", report.machine.v, leader, answer.status);
-  if (answer.answered && answer.status == 200) return {200, answer.body, false};
+  if (!lost_leader) return {421, wire::RedirectToJson(leader).dump()};
+  return Relay(report, body, leader, *peer->second);
+}
+
+// Passes a report on to the leader. While the leader can't be reached from here
+// either, the worker's lease is kept, without any command, so that what runs
+// there goes on: at once when this controller is itself cut off from the state
+// service, and after a while when the leader lives, cut off from both of us.
+// Nothing is bound anew by anyone before the machine is certainly fenced, so a
+// kept lease is never unsafe.
+HttpResponse Controller::Relay(const Report& report, const std::string& body,
+                               const std::string& leader, HttpClient& peer) {
+  bool try_it = false;
+  {
+    std::lock_guard lock(mutex_);
+    try_it = SteadyNow() >= relay_after_;
+  }
+  HttpAnswer answer;
+  if (try_it) {
+    answer = peer.Post(kMeshReport, body);
+    spdlog::debug("relayed {} to {}: {}", report.machine.v, leader, answer.status);
+  }
+  if (!answer.answered) {
+    std::lock_guard lock(mutex_);
+    const Instant now = SteadyNow();
+    if (try_it) relay_after_ = now + kRelayPause;
+    if (!relay_failing_) relay_failing_ = now;
+    const bool cut_off = state_failed_ > state_reached_;
+    if (EpochOf(report.token) == epoch_ &&
+        (cut_off || now - *relay_failing_ > 1.5 * settings_.leader_lease))
+      return {200, wire::ReplyToJson(report.token, {}).dump()};
+    return Plain(421);
+  }
+  {
+    std::lock_guard lock(mutex_);
+    relay_failing_.reset();
+  }
+  if (answer.status == 200) return {200, answer.body};
   // The leader has heard that the worker can reach it again.
-  if (answer.answered && answer.status == 421)
-    return {421, wire::RedirectToJson(leader).dump(), false};
+  if (answer.status == 421) return {421, wire::RedirectToJson(leader).dump()};
   return Plain(421);
 }
 
@@ -276,6 +381,10 @@
     return;
   }
   state_reached_ = SteadyNow();
+  if (leader_label_ != view.leader) {
+    relay_failing_.reset();
+    relay_after_ = {};
+  }
   leader_label_ = view.leader;
   epoch_ = view.epoch;
   if (view.leadership == leadership_) return;
@@ -464,14 +573,31 @@
 
 // ------------------------------------------------------------- leader's work
 
+void Controller::WakePushes() {
+  const std::size_t threads = std::min<std::size_t>(scheduler_.pushes_wanted(), kPushThreads);
+  for (std::size_t i = 0; i < threads; ++i) push_wake_.notify_one();
+}
+
+// Ticks come at once when something happened, but take a bounded share of the
+// time: the more there is to plan, the further they lie apart.
 void Controller::TickLoop() {
   std::unique_lock lock(mutex_);
+  Instant next;
   for (;;) {
     tick_wake_.wait_for(lock, duration<double>(scheduler_.loaded() ? kTick.v : 2.0),
                         [this] { return tick_due_; });
+    const Seconds early = next - SteadyNow();
+    if (early.v > 0) {
+      lock.unlock();
+      Sleep(early);
+      lock.lock();
+    }
     tick_due_ = false;
     if (!scheduler_.loaded()) continue;
-    scheduler_.Tick(SteadyNow(), WallNow());
+    const Instant begin = SteadyNow();
+    scheduler_.Tick(begin, WallNow());
+    const Instant end = SteadyNow();
+    next = end + std::max(kLeastTickGap, ((1 - kTickShare) / kTickShare) * (end - begin));
     const std::vector<std::string> notes = scheduler_.TakeNotes();
     if (!notes.empty()) {
       lock.unlock();
@@ -479,8 +605,10 @@
       lock.lock();
     }
     write_wake_.notify_one();
-    push_wake_.notify_one();
-    probe_wake_.notify_all();
+    WakePushes();
+    const std::size_t probes =
+        std::min<std::size_t>(scheduler_.ScanForProbes(SteadyNow()), kProbeThreads);
+    for (std::size_t i = 0; i < probes; ++i) probe_wake_.notify_one();
     cloud_wake_.notify_one();
   }
 }
@@ -527,9 +655,8 @@
       scheduler_.LoadJob(job.record.spec, job.record.cancelled, job.stamp);
     scheduler_.OnWriteRejected(plan);
   }
-  tick_due_ = true;
-  tick_wake_.notify_one();
-  push_wake_.notify_all();
+  if (scheduler_.wants_tick() && !std::exchange(tick_due_, true)) tick_wake_.notify_one();
+  WakePushes();
 }
 
 void Controller::PushLoop() {
@@ -567,9 +694,7 @@
   const PushResult result = SendPush(push, kPushTimeout);
   std::lock_guard lock(mutex_);
   scheduler_.OnPushEnd(push, result.end, result.report, SteadyNow());
-  tick_due_ = true;
-  tick_wake_.notify_one();
-  write_wake_.notify_one();
+  if (scheduler_.wants_tick() && !std::exchange(tick_due_, true)) tick_wake_.notify_one();
   if (result.end != PushEnd::kAnswered)
     spdlog::debug("push to {}: {}", push.machine.v,
                   result.end == PushEnd::kNotSent ? "not sent" : "no answer");
@@ -590,45 +715,52 @@
         cloud_wake_.wait(lock);
       }
     }
-    if (call->kind == CloudCall::Kind::kList) {
-      const auto list = cloud_.List();
+    const Instant begin = SteadyNow();
+    CarryOut(*call);
+    const Seconds left = gap - (SteadyNow() - begin);
+    if (left.v > 0) Sleep(left);
+  }
+}
+
+void Controller::CarryOut(const CloudCall& call) {
+  if (call.kind == CloudCall::Kind::kList) {
+    const auto list = cloud_.List();
+    std::lock_guard lock(mutex_);
+    if (list)
+      scheduler_.OnList(*list, SteadyNow());
+    else
+      scheduler_.OnListFailed(SteadyNow());
+    return;
+  }
+  CloudEnd end = CloudEnd::kUnknown;
+  if (call.kind == CloudCall::Kind::kRent) {
+    std::vector<MachineId> machines;
+    end = cloud_.Rent(call.order, machines);
+    {
       std::lock_guard lock(mutex_);
-      if (list)
-        scheduler_.OnList(*list, SteadyNow());
+      if (end == CloudEnd::kOk)
+        scheduler_.OnRented(call, machines, SteadyNow());
+      else if (end == CloudEnd::kNoCapacity)
+        scheduler_.OnRentRefused(call, SteadyNow());
       else
-        scheduler_.OnListFailed(SteadyNow());
-    } else if (call->kind == CloudCall::Kind::kRent) {
-      std::vector<MachineId> machines;
-      const CloudEnd end = cloud_.Rent(call->order, machines);
-      {
-        std::lock_guard lock(mutex_);
-        if (end == CloudEnd::kOk)
-          scheduler_.OnRented(*call, machines, SteadyNow());
-        else if (end == CloudEnd::kNoCapacity)
-          scheduler_.OnRentRefused(*call, SteadyNow());
-        else
-          scheduler_.OnRentUnknown(*call);
-      }
-      spdlog::info("rent {} {} in {}{}: {} came", call->order.count, call->order.kind.type,
-                   call->order.kind.zone, call->order.kind.spot ? " (spot)" : "", machines.size());
-      if (end != CloudEnd::kOk && end != CloudEnd::kNoCapacity) Pause({0.5});
-    } else {
-      const CloudEnd end = cloud_.Release(call->release);
-      {
-        std::lock_guard lock(mutex_);
-        if (end == CloudEnd::kOk) {
-          scheduler_.OnReleased(*call, SteadyNow());
-          tick_due_ = true;
-          tick_wake_.notify_one();
-        } else {
-          scheduler_.OnReleaseUnknown(*call);
-        }
+        scheduler_.OnRentUnknown(call);
+    }
+    spdlog::info("rent {} {} in {}{}: {} came", call.order.count, call.order.kind.type,
+                 call.order.kind.zone, call.order.kind.spot ? " (spot)" : "", machines.size());
+  } else {
+    end = cloud_.Release(call.release);
+    {
+      std::lock_guard lock(mutex_);
+      if (end == CloudEnd::kOk) {
+        scheduler_.OnReleased(call, SteadyNow());
+        if (!std::exchange(tick_due_, true)) tick_wake_.notify_one();
+      } else {
+        scheduler_.OnReleaseUnknown(call);
       }
-      for (const MachineId& id : call->release) spdlog::info("returned {}", id.v);
-      if (end != CloudEnd::kOk) Pause({0.5});
     }
-    Sleep(gap);
+    for (const MachineId& id : call.release) spdlog::info("returned {}", id.v);
   }
+  if (end != CloudEnd::kOk && end != CloudEnd::kNoCapacity) Pause({0.5});
 }
 
 }  // namespace magpie
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -31,12 +31,17 @@
 
  private:
   HttpResponse HandleUserSide(const HttpRequest& request);
+  std::optional<JobCounts> Counts(const JobId& id);
+  HttpResponse CountsForPeers();
+  void CountsLoop();
   HttpResponse HandleMesh(const HttpRequest& request);
   HttpResponse HandleJobs(const HttpRequest& request);
   std::optional<HttpResponse> AskPeers(const HttpRequest& request);
   HttpResponse Health();
   bool StateReached();
   HttpResponse HandleReport(const std::string& body, bool relayed);
+  HttpResponse Relay(const Report& report, const std::string& body, const std::string& leader,
+                     HttpClient& peer);
   HttpResponse Redirect(const Report& report, const std::string& body);
 
   void MembershipLoop();
@@ -52,6 +57,8 @@
   void ProbeLoop();
   void Send(const Push& push);
   void CloudLoop();
+  void CarryOut(const CloudCall& call);
+  void WakePushes();
   void Adopt(const Membership::View& view);
   bool StillLeading(const Leadership& leadership);
 
@@ -68,6 +75,13 @@
   std::condition_variable membership_wake_;
   bool membership_nudged_ = false;
 
+  // Counts of the live jobs as the leader told them last.
+  std::mutex counts_mutex_;
+  std::condition_variable counts_wake_;
+  std::map<JobId, JobCounts> counts_;
+  Instant counts_at_;
+  bool counts_wanted_ = false;
+
   std::mutex types_mutex_;
   std::vector<MachineType> types_;
 
@@ -85,6 +99,9 @@
   Stamp epoch_;            // the latest known
   Instant state_reached_;  // when the state service last answered
   Instant state_failed_;   // when it last did not
+  // Since when and until when the leader counts as out of reach from here.
+  std::optional<Instant> relay_failing_;
+  Instant relay_after_;
   bool tick_due_ = false;
 };
 
--- a/src/app/job_api.cc
+++ b/src/app/job_api.cc
@@ -13,8 +13,10 @@
 constexpr int kTries = 4;
 constexpr Seconds kPause{0.15};
 constexpr std::uint32_t kBlocksForCounts = 50;
+constexpr Seconds kCountsKept{15};
+constexpr std::size_t kCountsRemembered = 4096;
 
-HttpResponse Answer(int status, const Json& body) { return {status, body.dump(), false}; }
+HttpResponse Answer(int status, const Json& body) { return {status, body.dump()}; }
 
 HttpResponse Error(int status, const std::string& what) {
   // `what` may quote the request; bytes that are no UTF-8 must not throw.
@@ -49,12 +51,14 @@
   }
 }
 
-JobApi::JobApi(Store& store, std::vector<Team> teams, std::vector<std::string> zones, Hooks hooks)
+JobApi::JobApi(Store& store, std::vector<Team> teams, std::vector<std::string> zones,
+               Seconds poll_gap, Hooks hooks)
     : store_(store),
       teams_(std::move(teams)),
       zones_(std::move(zones)),
       hooks_(std::move(hooks)),
-      finals_(kFinalsRemembered) {}
+      finals_(kFinalsRemembered),
+      mirror_(store, poll_gap, {hooks_.steady, hooks_.pause}) {}
 
 JobApi::Lookup JobApi::Look(const JobId& id) {
   Lookup lookup;
@@ -66,12 +70,11 @@
   try {
     // A job's record turns final in one transaction, so a job that is in
     // neither place, looked up in this order, was not accepted before we began.
-    const GetResult job = store_.Get(records::JobKey(id));
-    if (job.end != StoreEnd::kOk) return lookup;
-    if (job.entry) {
-      lookup.record = records::JobFromJson(job.entry->value);
-      lookup.stamp = job.entry->stamp;
-      lookup.found = lookup.record.cancelled ? Found::kCancelling : Found::kLive;
+    const JobMirror::Answer job = mirror_.Look(id);
+    if (!job.reached) return lookup;
+    if (job.live) {
+      lookup.stamp = job.live->stamp;
+      lookup.found = job.live->cancelled ? Found::kCancelling : Found::kLive;
       return lookup;
     }
     const GetResult final = store_.Get(records::FinalKey(id));
@@ -92,6 +95,12 @@
 
 JobCounts JobApi::CountsOf(const JobId& id) {
   if (const auto counts = hooks_.counts(id)) return *counts;
+  const Instant now = hooks_.steady();
+  {
+    std::lock_guard lock(counts_mutex_);
+    const auto kept = counts_.find(id.v);
+    if (kept != counts_.end() && now - kept->second.at < kCountsKept) return kept->second.counts;
+  }
   // Only for display: what the records say.
   JobCounts counts;
   const RangeResult blocks = store_.Range(records::TaskBlocksOf(id), "", kBlocksForCounts);
@@ -105,6 +114,9 @@
       spdlog::error("record {}: {}", entry.key, e.what());
     }
   }
+  std::lock_guard lock(counts_mutex_);
+  if (counts_.size() >= kCountsRemembered) counts_.clear();
+  counts_[id.v] = {counts, now};
   return counts;
 }
 
@@ -204,12 +216,18 @@
       return Answer(
           200, wire::JobAnswerToJson({id, done ? wire::kDone : wire::kCancelled, 0, 0}, false));
     }
-    records::JobRecord record = lookup.record;
-    record.cancelled = true;
+    const GetResult got = store_.Get(records::JobKey(id));
+    if (got.end != StoreEnd::kOk) {
+      hooks_.pause(kPause);
+      continue;
+    }
+    if (!got.entry || !got.entry->value.is_object()) continue;  // over meanwhile
+    Json record = got.entry->value;
+    record["cancelled"] = true;
     // Conditional on the job's stamp, so that it can't pass a job just done.
     const TxnResult result =
-        store_.Commit({{{records::JobKey(id), lookup.stamp}},
-                       {{records::JobKey(id), records::ToJson(record), std::nullopt}}});
+        store_.Commit({{{records::JobKey(id), got.entry->stamp}},
+                       {{records::JobKey(id), std::move(record), std::nullopt}}});
     if (result.end == StoreEnd::kOk)
       return Answer(200, wire::JobAnswerToJson({id, wire::kCancelled, 0, 0}, false));
     if (result.end != StoreEnd::kConflict) hooks_.pause(kPause);
--- a/src/app/job_api.h
+++ b/src/app/job_api.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "app/job_mirror.h"
 #include "core/scheduler.h"
 #include "net/http_server.h"
 #include "state/records.h"
@@ -36,13 +37,16 @@
  public:
   struct Hooks {
     std::function<std::vector<MachineType>()> types;
-    // The leader's own counts, or none when asked of another controller.
+    // The leader's counts, or none when they can't be had.
     std::function<std::optional<JobCounts>(const JobId&)> counts;
     std::function<WallTime()> now;
     std::function<void(Seconds)> pause;
+    std::function<Instant()> steady;
   };
 
-  JobApi(Store& store, std::vector<Team> teams, std::vector<std::string> zones, Hooks hooks);
+  // `poll_gap` lies at least between two reads for polls.
+  JobApi(Store& store, std::vector<Team> teams, std::vector<std::string> zones, Seconds poll_gap,
+         Hooks hooks);
 
   HttpResponse Submit(const std::string& body);
   HttpResponse Query(const std::string& id);
@@ -53,9 +57,13 @@
   struct Lookup {
     Found found = Found::kUnavailable;
     Stamp stamp;
-    records::JobRecord record;
     records::FinalRecord final;
   };
+  // Counts read from the records, kept for a while: they are only for display.
+  struct CountsRead {
+    JobCounts counts;
+    Instant at;
+  };
   Lookup Look(const JobId& id);
   HttpResponse State(const JobId& id, const Lookup& lookup);
   JobCounts CountsOf(const JobId& id);
@@ -67,6 +75,9 @@
   std::vector<std::string> zones_;
   Hooks hooks_;
   FinalCache finals_;
+  JobMirror mirror_;
+  std::mutex counts_mutex_;
+  std::unordered_map<std::string, CountsRead> counts_;
 };
 
 }  // namespace magpie
--- /dev/null
+++ b/src/app/job_mirror.cc
@@ -0,0 +1,102 @@
+#include "app/job_mirror.h"
+
+#include "state/records.h"
+
+namespace magpie {
+namespace {
+constexpr std::uint32_t kPage = 500;
+constexpr std::size_t kPrefix = sizeof(records::kJobs) - 1;
+}  // namespace
+
+JobMirror::JobMirror(Store& store, Seconds gap, Hooks hooks)
+    : store_(store), gap_(gap), hooks_(std::move(hooks)) {}
+
+JobMirror::Answer JobMirror::Look(const JobId& id) {
+  std::unique_lock lock(mutex_);
+  const std::uint64_t wanted = started_ + 1;
+  while (ended_ < wanted) {
+    if (running_) {
+      done_.wait(lock);
+      continue;
+    }
+    running_ = true;
+    const Seconds early = next_ - hooks_.now();
+    if (early.v > 0) {
+      lock.unlock();
+      hooks_.sleep(early);
+      lock.lock();
+    }
+    const std::uint64_t number = ++started_;
+    next_ = hooks_.now() + gap_;
+    lock.unlock();
+    const bool reached = Refresh();
+    lock.lock();
+    reached_ = reached;
+    running_ = false;
+    ended_ = number;
+    done_.notify_all();
+  }
+  Answer answer{reached_, std::nullopt};
+  const auto it = jobs_.find(id.v);
+  if (it != jobs_.end()) answer.live = it->second;
+  return answer;
+}
+
+// Only one thread is in here at a time; the copy itself changes under the lock.
+bool JobMirror::Refresh() {
+  Stamp tick;
+  {
+    std::lock_guard lock(mutex_);
+    tick = tick_;
+  }
+  for (int i = 0; i < 2; ++i) {
+    if (tick.v == 0) {
+      std::unordered_map<std::string, Live> jobs;
+      if (!Reload(jobs, tick)) return false;
+      std::lock_guard lock(mutex_);
+      jobs_ = std::move(jobs);
+    }
+    const WatchResult watch = store_.Watch(records::kJobs, tick, Seconds{0});
+    if (watch.end != StoreEnd::kOk) return false;
+    std::lock_guard lock(mutex_);
+    tick_ = watch.too_old ? Stamp{} : watch.tick;
+    tick = tick_;
+    if (watch.too_old) continue;
+    for (const WatchEvent& event : watch.events) Apply(jobs_, event);
+    return true;
+  }
+  return false;
+}
+
+bool JobMirror::Reload(std::unordered_map<std::string, Live>& jobs, Stamp& tick) {
+  std::string after;
+  for (bool more = true; more;) {
+    const RangeResult range = store_.Range(records::kJobs, after, kPage);
+    if (range.end != StoreEnd::kOk) {
+      tick = {};
+      return false;
+    }
+    // What changes while pages are read is told by the watch once more.
+    if (tick.v == 0) tick = range.tick;
+    for (const StoreEntry& entry : range.entries) {
+      Apply(jobs, {entry.key, entry.value, entry.stamp});
+      after = entry.key;
+    }
+    more = range.more && !range.entries.empty();
+  }
+  return true;
+}
+
+void JobMirror::Apply(std::unordered_map<std::string, Live>& jobs, const WatchEvent& event) {
+  const std::string id = event.key.substr(kPrefix);
+  const auto it = jobs.find(id);
+  if (it != jobs.end() && event.stamp < it->second.stamp) return;
+  if (!event.value) {
+    if (it != jobs.end()) jobs.erase(it);
+    return;
+  }
+  const bool cancelled = event.value->is_object() && event.value->value("cancelled", false);
+  jobs[id] = {event.stamp, cancelled};
+}
+
+}  // namespace magpie
--- /dev/null
+++ b/src/app/job_mirror.h
@@ -0,0 +1,59 @@
+// A warm copy of which jobs are live, checked against the state service before
+// each use, so that a crowd of polls costs one small read.
+#pragma once
+
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "core/types.h"
+#include "state/store.h"
+
+namespace magpie {
+
+// Each answer holds for some moment after the question: the copy is brought up
+// to date by a watch that does not block and that began after the question.
+// Questions that come while one is on its way share the next.
+class JobMirror {
+ public:
+  struct Hooks {
+    std::function<Instant()> now;
+    std::function<void(Seconds)> sleep;
+  };
+  // At least `gap` lies between two reads.
+  JobMirror(Store& store, Seconds gap, Hooks hooks);
+
+  struct Live {
+    Stamp stamp;
+    bool cancelled = false;
+  };
+  struct Answer {
+    bool reached = false;
+    std::optional<Live> live;  // none: no such live job
+  };
+  Answer Look(const JobId& id);
+
+ private:
+  bool Refresh();
+  bool Reload(std::unordered_map<std::string, Live>& jobs, Stamp& tick);
+  static void Apply(std::unordered_map<std::string, Live>& jobs, const WatchEvent& event);
+
+  Store& store_;
+  Seconds gap_;
+  Hooks hooks_;
+  std::mutex mutex_;
+  std::condition_variable done_;
+  bool running_ = false;
+  std::uint64_t started_ = 0;
+  std::uint64_t ended_ = 0;
+  bool reached_ = false;  // by the read that ended last
+  Instant next_;
+  Stamp tick_;  // 0: the copy must be read anew
+  std::unordered_map<std::string, Live> jobs_;
+};
+
+}  // namespace magpie
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -55,7 +55,7 @@
   std::uint32_t headroom = 1;
   Seconds headroom_for{600};
   Seconds refused_pause{90};
-  std::uint32_t most_per_order = 8;
+  std::uint32_t most_per_order = 50;
 };
 
 // Both raise BadSettings.
--- /dev/null
+++ b/src/core/dialogue.cc
@@ -0,0 +1,346 @@
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+#include "core/scheduler.h"
+
+namespace magpie {
+namespace {
+constexpr std::uint64_t kLowMask = (1ULL << kTokenLowBits) - 1;
+constexpr std::size_t kCommandsPerMessage = 64;
+constexpr double kErrorPauseMost = 30;
+constexpr std::uint32_t kErrorsToCordon = 2;
+constexpr std::uint32_t kFaultyJobErrors = 6;  // then the job is to blame
+constexpr double kPushRetry = 1;
+constexpr double kProbeEvery = 2;
+constexpr double kProbeAgain = 0.5;  // after one that failed
+}  // namespace
+
+// Whether a message lets us believe that what it does not list can't start
+// there any more. Not while a direct command is open, nor before the worker has
+// seen a token above those of all commands without an answer; and the answer to
+// a command says nothing of a report's response that is still on its way.
+bool Scheduler::Conclusive(const Machine& m, bool from_push) const {
+  return m.seen >= m.fence && !m.push_open && !(from_push && m.reply_open);
+}
+
+Reply Scheduler::OnReport(const Report& report, Instant now, bool relayed) {
+  Reply reply;
+  // A token of a later epoch: another controller leads by now.
+  if (EpochOf(report.token) > EpochOf(base_)) {
+    reply.entitled = false;
+    return reply;
+  }
+  if (!loaded_) {
+    reply.token = std::max(base_, report.token);
+    Report& kept = early_[report.machine];
+    if (std::tuple(report.session, report.seq) >= std::tuple(kept.session, kept.seq)) kept = report;
+    return reply;
+  }
+  if (gone_.contains(report.machine)) {  // a late message of a returned machine
+    reply.token = std::max(base_, report.token);
+    return reply;
+  }
+  Machine& m = Meet(report.machine, now);
+  m.token = std::max(m.token, report.token);
+  reply.token = m.token;
+  if (relayed && m.relayed && m.reached) {
+    m.relayed = false;
+    reply.come_here = true;
+    return reply;
+  }
+  if (relayed && !m.relayed) m.reached = false;
+  m.relayed = relayed;
+  if (relayed) relayed_from_[m.zone.empty() ? report.zone : m.zone] = now;
+  if (std::tuple(report.session, report.seq) <= std::tuple(m.session, m.seq)) return reply;
+  m.reply_open = false;  // the report before this one was answered or given up
+  Absorb(m, report, false, now);
+  reply.commands = CommandsFor(m, now);
+  for (const Command& c : reply.commands)
+    if (c.kind == CommandKind::kRun) m.reply_open = true;
+  push_wanted_.erase(m.id);
+  return reply;
+}
+
+void Scheduler::Absorb(Machine& m, const Report& report, bool from_push, Instant now) {
+  const bool new_session = m.session != 0 && report.session > m.session;
+  m.addr = report.addr;
+  // What has been counted by zone stays counted there, whatever a worker says.
+  if (m.zone.empty()) m.zone = report.zone;
+  if (!m.kind || m.type != report.type || m.spot != report.spot) m.kind.reset();
+  m.type = report.type;
+  m.spot = report.spot;
+  m.session = report.session;
+  m.seq = report.seq;
+  m.seen = std::max(m.seen, report.token);
+  m.heard = now;
+  m.suspected = false;
+  m.failed_probes = 0;
+  if (!m.up) {
+    m.up = true;
+    wants_tick_ = true;
+    m.idle_since = now;
+  }
+  if (report.notice.has_value() != m.notice_until.has_value()) wants_tick_ = true;
+  if (report.notice)
+    m.notice_until = now + *report.notice;
+  else
+    m.notice_until.reset();
+  if (new_session) {
+    // Commands of the earlier session do nothing any more, and all its tasks
+    // are gone. An open push still has to come back before the next is sent.
+    m.fence = std::min(m.fence, m.seen);
+    m.reply_open = false;
+  }
+  const bool conclusive = new_session || Conclusive(m, from_push);
+
+  for (const TaskId& id : m.tasks)
+    if (Task* t = FindTask(id)) t->seen = false;
+  m.last = report.tasks;
+  for (const TaskReport& entry : report.tasks) AbsorbTask(m, entry, now);
+
+  if (!conclusive) return;
+  std::vector<TaskId> lost;
+  for (const TaskId& id : m.tasks) {
+    Job* job = FindJob(id.job);
+    if (job == nullptr) continue;
+    const Task& t = job->tasks[id.index];
+    if (t.seen || t.state != TaskState::kBound) continue;
+    // Absent for sure. A cancelled task or one told to stop is over; one of an
+    // earlier session was killed; any other has not begun and is sent again.
+    if (job->cancelled || t.want_stop || new_session || m.notice_until) lost.push_back(id);
+  }
+  for (const TaskId& id : lost) Unbind(*FindJob(id.job), id.index, now);
+}
+
+void Scheduler::AbsorbTask(Machine& m, const TaskReport& entry, Instant now) {
+  Job* job = FindJob(entry.task.job);
+  if (job == nullptr || entry.task.index >= job->tasks.size()) return;
+  Task& t = job->tasks[entry.task.index];
+  const bool ours = t.machine == &m && t.attempt == entry.attempt &&
+                    (t.state == TaskState::kBound || t.state == TaskState::kEnding);
+  if (!ours) {
+    // A result is a result, whichever attempt brought it, as long as no other
+    // attempt is on a machine.
+    if (entry.mood == TaskMood::kEnded && entry.cause == EndCause::kDone &&
+        t.state == TaskState::kPending && !job->cancelled)
+      SetDone(*job, entry.task.index, now);
+    return;
+  }
+  t.seen = true;
+  if (entry.mood != TaskMood::kFetching && entry.cause != EndCause::kNoRoom &&
+      entry.cause != EndCause::kUnknown && entry.cause != EndCause::kBusy)
+    NoteImage(m, *job);
+  if (entry.mood != TaskMood::kEnded) {
+    const bool running = entry.mood == TaskMood::kRunning;
+    if (running && !t.running) t.since = now;
+    t.running = running;
+    return;
+  }
+  if (t.state == TaskState::kEnding) return;
+  if (entry.cause == EndCause::kDone) {
+    m.errors_in_row = 0;
+    job->errors = 0;
+    // What began under an earlier leader has run for longer than we know.
+    if (t.running && t.timed && !job->cancelled) {
+      const Seconds expected = table_.Expect(job->spec, m.type);
+      if (expected.v > 0 && !t.overran) NotePace(m, (now - t.since).v / expected.v);
+      // A slow machine says nothing of its type.
+      if (!m.cordoned) table_.Learn(job->spec, m.type, now - t.since);
+    }
+    if (job->cancelled)
+      Unbind(*job, entry.task.index, now);
+    else
+      SetDone(*job, entry.task.index, now);
+    return;
+  }
+  // While the worker lists the attempt as ended, a late `run` of it does
+  // nothing; and it is made to forget it only once no such command is open.
+  if (entry.cause == EndCause::kError) {
+    // A machine is faulty when the tasks of healthy jobs fail on it; a job
+    // that fails wherever it runs says nothing about its machines.
+    ++job->errors;
+    if (job->errors < kFaultyJobErrors) {
+      ++m.errors_in_row;
+      if (m.errors_in_row >= kErrorsToCordon) m.cordoned = true;
+    }
+    const double pause =
+        std::min(kErrorPauseMost, job->errors < 3 ? 0.0 : std::exp2(job->errors - 3));
+    job->not_before = now + Seconds{pause};
+  } else if (entry.cause == EndCause::kUnknown) {
+    job->not_before = now + Seconds{2};  // its description is not there yet
+  } else if (entry.cause == EndCause::kNoRoom) {
+    job->not_before = now + Seconds{0.5};
+  }
+  Unbind(*job, entry.task.index, now);
+}
+
+std::vector<Command> Scheduler::CommandsFor(Machine& m, Instant now) {
+  std::vector<Command> commands;
+  if (m.releasing || !m.up) return commands;
+  auto full = [&] { return commands.size() >= kCommandsPerMessage; };
+  for (const TaskReport& entry : m.last) {
+    if (full()) break;
+    const Job* job = FindJob(entry.task.job);
+    const Task* t = FindTask(entry.task);
+    const bool ours = t != nullptr && t->machine == &m && t->attempt == entry.attempt &&
+                      t->state != TaskState::kPending && t->state != TaskState::kDone;
+    if (entry.mood == TaskMood::kEnded) {
+      // Forgotten only when its end is recorded or it is bound no longer, and
+      // no open command could start it once more.
+      if (!ours && Conclusive(m, true))
+        commands.push_back({CommandKind::kForget, entry.task, entry.attempt, {}});
+      continue;
+    }
+    if (!ours || (job != nullptr && job->cancelled)) {
+      commands.push_back({CommandKind::kStop, entry.task, entry.attempt, {}});
+    } else if (t->want_stop && entry.mood != TaskMood::kSaving) {
+      commands.push_back({CommandKind::kStop, entry.task, entry.attempt, t->grace});
+    }
+  }
+  if (m.notice_until) return commands;
+  for (const TaskId& id : m.tasks) {
+    if (full()) break;
+    Job* job = FindJob(id.job);
+    if (job == nullptr || job->cancelled) continue;
+    const Task& t = job->tasks[id.index];
+    if (t.state == TaskState::kBound && !t.seen && !t.want_stop)
+      commands.push_back({CommandKind::kRun, id, t.attempt, {}});
+  }
+  (void)now;
+  return commands;
+}
+
+std::optional<Push> Scheduler::NextPush(Instant now) {
+  if (!loaded_) return std::nullopt;
+  for (auto it = push_wanted_.begin(); it != push_wanted_.end();) {
+    const auto found = machines_.find(*it);
+    if (found == machines_.end() || found->second->releasing) {
+      it = push_wanted_.erase(it);
+      continue;
+    }
+    Machine& m = *found->second;
+    if (m.push_open || !m.up || now < m.push_after || (m.relayed && !m.reached) ||
+        now - m.heard > 2.0 * options_.report ||  // wait until it is heard again
+        (m.token.v & kLowMask) == kLowMask) {     // no token left to fence with
+      ++it;
+      continue;
+    }
+    it = push_wanted_.erase(it);
+    Push push{m.id, m.addr, m.session, m.token, CommandsFor(m, now)};
+    if (push.commands.empty()) continue;
+    m.push_open = true;
+    return push;
+  }
+  return std::nullopt;
+}
+
+bool Scheduler::DueForProbe(const Machine& m, Instant now) const {
+  constexpr double kLate = 1.3;    // in report intervals; they vary by a quarter
+  constexpr Seconds kMargin{0.3};  // for the way and our own delays
+  constexpr Seconds kLateInAlarm{4};
+  if (m.addr.empty() || m.push_open || m.releasing || now < m.probe_after) return false;
+  // Its token is behind: it may be reporting to an earlier leader.
+  if (m.up && (m.seen < m.fence || m.relayed)) return true;
+  // One that is still booting will report by itself.
+  if (!m.up) return m.listed_running || !m.tasks.empty();
+  Seconds late = kLate * options_.report + kMargin;
+  if (now < alarm_until_) late = std::min(late, kLateInAlarm);
+  return now - m.heard > late;
+}
+
+// Machines are looked through a few times a second, and only so many are
+// probed at once: after a takeover most will report by themselves meanwhile.
+std::size_t Scheduler::ScanForProbes(Instant now) {
+  constexpr Seconds kScanEvery{0.25};
+  constexpr std::size_t kMostAtOnce = 12;
+  if (!loaded_) return 0;
+  if (probe_queue_.empty() && now >= probe_scan_) {
+    probe_scan_ = now + kScanEvery;
+    std::vector<std::tuple<bool, Instant, const Machine*>> due;
+    for (const auto& [id, m] : machines_)
+      if (DueForProbe(*m, now)) due.emplace_back(m->tasks.empty(), m->heard, m.get());
+    const std::size_t most = std::min(due.size(), kMostAtOnce);
+    std::partial_sort(due.begin(), due.begin() + static_cast<std::ptrdiff_t>(most), due.end());
+    for (std::size_t i = 0; i < most; ++i) probe_queue_.push_back(std::get<2>(due[i])->id);
+  }
+  return probe_queue_.size();
+}
+
+std::optional<Push> Scheduler::NextProbe(Instant now) {
+  if (ScanForProbes(now) == 0) return std::nullopt;
+  while (!probe_queue_.empty()) {
+    const auto it = machines_.find(probe_queue_.front());
+    probe_queue_.pop_front();
+    if (it == machines_.end() || !DueForProbe(*it->second, now)) continue;
+    Machine& m = *it->second;
+    m.push_open = true;
+    m.probe_after = now + Seconds{kProbeEvery};
+    return Push{m.id, m.addr, std::max<std::uint64_t>(m.session, 1), m.token, {}};
+  }
+  return std::nullopt;
+}
+
+void Scheduler::OnPushEnd(const Push& push, PushEnd end, const std::optional<Report>& report,
+                          Instant now) {
+  auto it = machines_.find(push.machine);
+  if (!loaded_ || EpochOf(push.token) != EpochOf(base_) || it == machines_.end()) return;
+  Machine& m = *it->second;
+  m.push_open = false;
+  m.reached = end == PushEnd::kAnswered;
+  if (push.commands.empty() && end != PushEnd::kAnswered) {
+    ++m.failed_probes;
+    m.suspected = !m.relayed && now - m.heard > std::min(options_.report, Seconds{4});
+    m.probe_after = now + Seconds{kProbeAgain};
+    wants_tick_ = true;
+    return;  // should it be late, it does no harm
+  }
+  if (end == PushEnd::kUnknown) {
+    // It may be executed at any time until the worker sees a higher token.
+    m.token = std::max(m.token, Token{push.token.v + 1});
+    m.fence = m.token;
+    m.push_after = now + Seconds{kPushRetry};
+    return;
+  }
+  if (end == PushEnd::kNotSent) {
+    m.push_after = now + Seconds{kPushRetry};
+    return;
+  }
+  if (!report || report->machine != m.id) return;
+  // A later leader's token must never become ours: with it, what a deposed
+  // leader still believes would be obeyed.
+  if (EpochOf(report->token) > EpochOf(base_)) return;
+  m.token = std::max(m.token, report->token);
+  if (std::tuple(report->session, report->seq) > std::tuple(m.session, m.seq))
+    Absorb(m, *report, true, now);
+  // Refused for its session, which is known now: try again at once.
+  if (push.commands.empty() && m.seen < m.token) {
+    m.probe_after = now;
+    probe_queue_.push_front(m.id);
+  }
+}
+
+void Scheduler::NoteImage(Machine& m, const Job& job) {
+  if (job.image == 0) return;
+  auto it = std::find_if(m.images.begin(), m.images.end(),
+                         [&](const auto& i) { return i.first == job.image; });
+  if (it == m.images.begin() && it != m.images.end()) return;
+  if (it != m.images.end()) m.images.erase(it);
+  m.images.emplace_front(job.image, job.spec.image_gb);
+  const MachineType* type = fleet_.Find(m.type);
+  double total = 0;
+  for (std::size_t i = 0; i < m.images.size(); ++i) {
+    total += m.images[i].second;
+    if (type != nullptr && total > type->cache_gb && i > 0) {
+      m.images.resize(i);
+      break;
+    }
+  }
+}
+
+bool Scheduler::HasImage(const Machine& m, std::uint32_t image) const {
+  return image == 0 || std::any_of(m.images.begin(), m.images.end(),
+                                   [&](const auto& i) { return i.first == image; });
+}
+
+}  // namespace magpie
--- /dev/null
+++ b/src/core/machine_care.cc
@@ -0,0 +1,360 @@
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+#include "core/scheduler.h"
+
+namespace magpie {
+namespace {
+constexpr std::size_t kGoneRemembered = 4096;
+}  // namespace
+
+void Scheduler::MachineGone(const MachineId& id, Instant now) {
+  auto it = machines_.find(id);
+  if (gone_.insert(id).second) {
+    gone_order_.push_back(id);
+    if (gone_order_.size() > kGoneRemembered) {
+      gone_.erase(gone_order_.front());
+      gone_order_.pop_front();
+    }
+  }
+  if (it == machines_.end()) return;
+  Machine& m = *it->second;
+  const std::set<TaskId> tasks = m.tasks;
+  for (const TaskId& task : tasks) {
+    Job* job = FindJob(task.job);
+    if (job != nullptr) Unbind(*job, task.index, now);
+  }
+  machines_.erase(it);
+}
+
+std::optional<CloudCall> Scheduler::NextCloudCall(Instant now) {
+  if (!loaded_) return std::nullopt;
+  if (!cloud_queue_.empty()) {
+    CloudCall call = std::move(cloud_queue_.front());
+    cloud_queue_.pop_front();
+    return call;
+  }
+  CloudCall release;
+  release.kind = CloudCall::Kind::kRelease;
+  constexpr std::size_t kMostReleased = 100;
+  for (auto& [id, m] : machines_) {
+    if (!m->releasing || m->release_open || release.release.size() >= kMostReleased) continue;
+    m->release_open = true;
+    release.release.push_back(id);
+  }
+  if (!release.release.empty()) return release;
+  if (!list_open_ && now >= list_next_) {
+    list_open_ = true;
+    return CloudCall{};
+  }
+  return std::nullopt;
+}
+
+void Scheduler::OnRented(const CloudCall& call, const std::vector<MachineId>& machines,
+                         Instant now) {
+  if (!loaded_ || !call.order.name.starts_with(rental_prefix_)) return;
+  renting_.erase(call.order.name);
+  for (const MachineId& id : machines) {
+    if (gone_.contains(id)) continue;
+    Machine& m = Meet(id, now);
+    if (m.up) continue;
+    m.type = call.order.kind.type;
+    m.zone = call.order.kind.zone;
+    m.spot = call.order.kind.spot;
+    m.kind.reset();
+  }
+  if (machines.size() < call.order.count)
+    fleet_.Refused(call.order.kind, CountKind(call.order.kind), now);
+}
+
+void Scheduler::OnRentRefused(const CloudCall& call, Instant now) {
+  renting_.erase(call.order.name);
+  fleet_.Refused(call.order.kind, CountKind(call.order.kind), now);
+  fleet_next_ = now;
+}
+
+int Scheduler::CountKind(const MachineKind& kind) const {
+  int n = 0;
+  for (const auto& [id, m] : machines_)
+    n += m->type == kind.type && m->zone == kind.zone && m->spot == kind.spot ? 1 : 0;
+  return n;
+}
+
+void Scheduler::OnRentUnknown(const CloudCall& call) {
+  if (!loaded_ || !call.order.name.starts_with(rental_prefix_)) return;
+  cloud_queue_.push_back(call);  // the same name brings the same machines
+}
+
+void Scheduler::OnReleased(const CloudCall& call, Instant now) {
+  if (!loaded_) return;
+  for (const MachineId& id : call.release) MachineGone(id, now);
+}
+
+void Scheduler::OnReleaseUnknown(const CloudCall& call) {
+  for (const MachineId& id : call.release) {
+    auto it = machines_.find(id);
+    if (it != machines_.end()) it->second->release_open = false;
+  }
+}
+
+void Scheduler::OnList(const std::vector<ListedMachine>& machines, Instant now) {
+  list_open_ = false;
+  list_next_ = now + options_.list_every;
+  if (!loaded_) return;
+  list_seen_ = true;
+  for (const ListedMachine& listed : machines) {
+    if (gone_.contains(listed.id)) continue;
+    const bool known = machines_.contains(listed.id);
+    Machine& m = Meet(listed.id, now);
+    if (!known) m.born = now - listed.age;
+    if (m.type.empty()) {
+      m.type = listed.type;
+      m.spot = listed.spot;
+      m.kind.reset();
+      if (m.zone.empty()) m.zone = listed.zone;
+      m.born = now - listed.age;
+    }
+    if (m.addr.empty()) m.addr = listed.addr;
+    m.listed_running = listed.mood == ListedMachine::Mood::kRunning;
+    if (listed.mood == ListedMachine::Mood::kFailed && !m.releasing) {
+      m.listed_failed = true;
+      m.releasing = true;
+    }
+  }
+}
+
+void Scheduler::OnListFailed(Instant now) {
+  list_open_ = false;
+  list_next_ = now + options_.list_every;
+}
+
+void Scheduler::ReturnIdle(const Plan& plan, Instant now) {
+  for (const Slot& slot : plan.slots) {
+    if (slot.machine == nullptr || slot.needed) continue;
+    Machine& m = *slot.machine;
+    if (!m.up || !m.tasks.empty()) continue;
+    if (now - m.idle_since > options_.idle && now - m.born > options_.least_age &&
+        now - loaded_at_ > options_.idle)
+      m.releasing = true;
+  }
+}
+
+// A machine whose tasks all take far longer than expected is slow: it gets no
+// more, and what can be saved moves on. One long task proves nothing, and
+// estimates that are wrong everywhere are learned by the table first.
+void Scheduler::NotePace(Machine& m, double ratio) {
+  constexpr std::size_t kEnough = 3;
+  constexpr double kSlow = 2;
+  m.pace.push_back(ratio);
+  if (m.pace.size() > kEnough) m.pace.pop_front();
+  if (m.cordoned || m.pace.size() < kEnough ||
+      *std::min_element(m.pace.begin(), m.pace.end()) < kSlow)
+    return;
+  m.cordoned = true;
+  if (options_.notes) Note("slow " + m.id.v);
+  for (const TaskId& id : m.tasks) {
+    const JobSpec& spec = jobs_.at(id.job)->spec;
+    Task& t = *FindTask(id);
+    if (spec.kind != JobKind::kArray || spec.checkpoint.v <= 0 || t.want_stop) continue;
+    t.want_stop = true;
+    t.grace = spec.save + Seconds{1};
+  }
+  WantPush(m);
+}
+
+// Tasks that have not ended yet may already show that their machine is slow.
+void Scheduler::NoteOverruns(Machine& m, Instant now) {
+  constexpr double kOverrun = 2.5;
+  if (m.cordoned || !m.up) return;
+  for (const TaskId& id : m.tasks) {
+    const JobSpec& spec = jobs_.at(id.job)->spec;
+    Task& t = *FindTask(id);
+    if (!t.running || !t.timed || t.overran || spec.kind != JobKind::kArray) continue;
+    const Seconds expected = table_.Expect(spec, m.type);
+    if (expected.v <= 0 || now - t.since < kOverrun * expected) continue;
+    t.overran = true;
+    NotePace(m, kOverrun);
+    if (m.cordoned) return;
+  }
+}
+
+// Zones whose silence is more likely a cut than as many deaths: half of the
+// machines are silent at once, or all have been for longer than so many could
+// be by chance, or some were relayed just now while the others still look for
+// a controller that reaches us.
+std::set<std::string> Scheduler::ZonesInDoubt(Instant now) {
+  constexpr Seconds kMargin{1};
+  constexpr double kRelayedReports = 5;
+  constexpr double kManyTimes = 8;  // in mean gaps between two reports of the zone
+  constexpr Seconds kLeastGap{2.5};
+  struct Zone {
+    int silent = 0;
+    int all = 0;
+    Instant heard;
+  };
+  std::map<std::string, Zone> zones;
+  const Seconds late = 1.3 * options_.report + kMargin;
+  for (const auto& [id, m] : machines_) {
+    if (!m->up && m->tasks.empty()) continue;
+    Zone& zone = zones[m->zone];
+    ++zone.all;
+    if (now - m->heard > late) ++zone.silent;
+    zone.heard = std::max(zone.heard, m->heard);
+  }
+  std::set<std::string> doubt;
+  for (const auto& [name, zone] : zones) {
+    const bool half = zone.silent > 1 && 2 * zone.silent >= zone.all;
+    const Seconds gap = std::max(kLeastGap, (kManyTimes / zone.all) * options_.report);
+    const auto relayed = relayed_from_.find(name);
+    if (half || (zone.all > 1 && now - zone.heard > gap) ||
+        (relayed != relayed_from_.end() &&
+         now - relayed->second < kRelayedReports * options_.report))
+      doubt.insert(name);
+  }
+  return doubt;
+}
+
+void Scheduler::LookAfterMachines(Instant now) {
+  constexpr std::uint32_t kFailedProbes = 2;
+  constexpr Seconds kLeastSilence{4};
+  constexpr double kReportsAtLeast = 2.5;
+  constexpr Seconds kAlarm{10};
+  constexpr double kCutLeases = 6;
+  const std::set<std::string> doubt = ZonesInDoubt(now);
+  // A machine cut off is left alone until its lease must have ended; longer in
+  // zones where a controller of ours may go on renewing it.
+  const Seconds lease_ended = std::max(options_.silent, options_.lease + 2.0 * options_.report);
+  const Seconds long_cut = std::max(lease_ended, kCutLeases * options_.lease);
+  const Seconds lone = std::max(options_.silent, kReportsAtLeast * options_.report);
+  for (auto& [id, m] : machines_) {
+    if (m->releasing) continue;
+    NoteOverruns(*m, now);
+    const MachineType* type = fleet_.Find(m->type);
+    const Seconds quiet = now - m->heard;
+    const bool cut_off = doubt.contains(m->zone);
+    Seconds patience = lone;
+    if (cut_off)
+      patience = options_.guarded_zones.contains(m->zone) ? long_cut : lease_ended;
+    else if (m->up && m->failed_probes >= kFailedProbes)
+      patience = kLeastSilence;  // it does not answer either
+    bool release = false;
+    if (m->up || !m->tasks.empty()) {
+      // Returning a machine is the certain fence: once the cloud has answered,
+      // nothing on it runs or can start.
+      release = quiet > patience && m->up;
+      if (!m->up) release = now - loaded_at_ > std::max(patience, 2.0 * options_.list_lag);
+      bool cancelled = false;
+      for (const TaskId& t : m->tasks) {
+        const Job* job = FindJob(t.job);
+        cancelled |=
+            job != nullptr && job->cancelled && now - job->cancelled_at > 0.4 * options_.cancel;
+      }
+      if (cancelled && quiet > 2.0 * options_.report) release = true;
+      if (release && quiet > kLeastSilence && !cut_off) alarm_until_ = now + kAlarm;
+    } else {
+      const Seconds boot = type == nullptr ? Seconds{60} : type->boot;
+      release = now - m->born > options_.boot_patience * boot + options_.lease &&
+                now - loaded_at_ > options_.lease;
+    }
+    if ((m->cordoned || m->draining) && m->tasks.empty()) release = true;
+    if (m->notice_until && m->tasks.empty()) release = true;
+    if (m->notice_until) HandleNotice(*m, now);
+    if (release) {
+      m->releasing = true;
+      Note("give up " + id.v +
+           (m->cordoned ? ", faulty"
+            : m->up     ? ""
+                        : ", never heard of") +
+           ", heard " + std::to_string(quiet.v) + " s ago");
+    }
+  }
+}
+
+// The cloud will take the machine: what can't end in time is stopped, saved if
+// it can be, early enough to be begun elsewhere.
+void Scheduler::HandleNotice(Machine& m, Instant now) {
+  const Seconds left = *m.notice_until - now;
+  for (const TaskId& id : m.tasks) {
+    Job* job = FindJob(id.job);
+    if (job == nullptr) continue;
+    Task& t = job->tasks[id.index];
+    if (t.want_stop || t.state != TaskState::kBound) continue;
+    const bool ends_in_time =
+        job->spec.kind == JobKind::kArray && t.running && EndOf(*job, t, m, now) - now < left;
+    if (ends_in_time) continue;
+    const bool saves = job->spec.checkpoint.v > 0;
+    if (saves && left > job->spec.save + 2.0 * options_.report) continue;  // it runs on for now
+    t.want_stop = true;
+    t.grace = saves ? job->spec.save + Seconds{1} : Seconds{0};
+    WantPush(m);
+  }
+}
+
+// Empties a machine that is mostly unused but for a few replicas, when these
+// can go on at once on other machines: such as are kept anyway, or cheaper
+// ones that would be returned.
+void Scheduler::Consolidate(const Plan& plan, Instant now) {
+  constexpr Seconds kMoveEvery{5};
+  constexpr double kMostUsed = 0.5;
+  constexpr double kWorthMoving = 0.7;
+  if (now < move_next_ || renting_.size() > 0) return;
+  Machine* worst = nullptr;
+  double worst_waste = 0;
+  std::vector<Machine*> targets;
+  for (const auto& [id, m] : machines_) {
+    const MachineType* type = fleet_.Find(m->type);
+    if (!m->up || m->spot || !Usable(*m) || type == nullptr || m->tasks.empty()) continue;
+    const double used = m->used.cpus / std::max(type->room.cpus, 1.0);
+    if (used > kMostUsed) continue;
+    const double waste = type->price * (1 - used);
+    if (waste <= worst_waste) continue;
+    std::map<const Slot*, Resources> taken;
+    bool movable = true;
+    double kept = 0;  // price of machines that would stay for this alone
+    for (const TaskId& task : m->tasks) {
+      const Job& job = *jobs_.at(task.job);
+      const Task& t = job.tasks[task.index];
+      movable = job.spec.kind == JobKind::kService && !job.cancelled && t.running &&
+                now - t.since > options_.settled;
+      if (!movable) break;
+      const Slot* target = nullptr;
+      for (const Slot& slot : plan.slots) {
+        if (slot.machine == nullptr || slot.machine == m.get() || !slot.now) continue;
+        if (slot.machine->releasing) continue;
+        const KindFacts& kind = kinds_[slot.kind];
+        if (kind.type->price > type->price || kind.kind.spot) continue;
+        const bool idle = slot.machine->tasks.empty() && !taken.contains(&slot);
+        if (idle && kept + kind.type->price > kWorthMoving * type->price) continue;
+        if (!KindAllows(job.spec, kind) || !HasImage(*slot.machine, job.image)) continue;
+        Resources need = taken[&slot];
+        need += job.spec.each;
+        if (!need.Fits(slot.lane.room())) continue;
+        target = &slot;
+        if (idle) kept += kind.type->price;
+        taken[&slot] = need;
+        break;
+      }
+      movable = target != nullptr;
+      if (!movable) break;
+    }
+    if (!movable) continue;
+    worst = m.get();
+    worst_waste = waste;
+    targets.clear();
+    for (const auto& [slot, need] : taken) targets.push_back(slot->machine);
+  }
+  if (worst == nullptr) return;
+  move_next_ = now + kMoveEvery;
+  worst->draining = true;
+  Note("drain " + worst->id.v);
+  for (Machine* target : targets) target->idle_since = now;  // not returned meanwhile
+  for (const TaskId& task : worst->tasks) {
+    Task& t = *FindTask(task);
+    t.want_stop = true;
+    t.grace = jobs_.at(task.job)->spec.save + Seconds{1};
+  }
+  WantPush(*worst);
+}
+
+}  // namespace magpie
--- /dev/null
+++ b/src/core/planning.cc
@@ -0,0 +1,627 @@
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+#include "core/scheduler.h"
+
+namespace magpie {
+
+bool Scheduler::Usable(const Machine& m) const {
+  return !m.releasing && !m.cordoned && !m.draining && !m.notice_until;
+}
+
+Resources Scheduler::Room(const Machine& m, const MachineType& type) const {
+  Resources room = type.room;
+  room -= m.used;
+  return room;
+}
+
+bool Scheduler::ZoneOk(const Job& job, const std::string& zone) const {
+  if (job.spec.zone && *job.spec.zone != zone) return false;
+  auto there = job.in_zone.find(zone);
+  const std::uint32_t n = there == job.in_zone.end() ? 0 : there->second;
+  if (job.spec.together && !job.in_zone.empty() && n == 0) return false;
+  return n < MostPerZone(job.spec);
+}
+
+bool Scheduler::WithinLimit(const Job& job, const std::map<std::string, Resources>& in_use) const {
+  constexpr double kSlop = 1e-6;
+  for (const Team& team : options_.teams) {
+    if (team.name != job.spec.team) continue;
+    auto it = in_use.find(team.name);
+    Resources use = it == in_use.end() ? Resources{} : it->second;
+    use += job.spec.each;
+    return (team.cpus_max <= 0 || use.cpus <= team.cpus_max + kSlop) &&
+           (team.gpus_max <= 0 || use.gpus <= team.gpus_max + kSlop);
+  }
+  return false;
+}
+
+// Whether a team that uses this much stays within its guarantee.
+bool Scheduler::Guaranteed(const std::string& name, const Resources& use) const {
+  constexpr double kSlop = 1e-6;
+  for (const Team& team : options_.teams)
+    if (team.name == name) return use.cpus <= team.cpus + kSlop && use.gpus <= team.gpus + kSlop;
+  return false;
+}
+
+// The same for a job's team with one more of its tasks.
+bool Scheduler::InGuarantee(const Job& job) const {
+  auto it = team_use_.find(job.spec.team);
+  Resources use = it == team_use_.end() ? Resources{} : it->second;
+  use += job.spec.each;
+  return Guaranteed(job.spec.team, use);
+}
+
+// How long from now until the job's present tasks should be done: its deadline
+// and what the objectives say of its class, the tightest of them.
+Seconds Scheduler::TargetOf(const Job& job, WallTime wall) const {
+  const Seconds age = wall - job.spec.submitted;
+  double longest = job.spec.estimate.v;
+  const MachineType* largest = nullptr;
+  for (const MachineType& type : fleet_.types())
+    if (largest == nullptr || type.room.cpus > largest->room.cpus) largest = &type;
+  if (largest != nullptr) longest = table_.Expect(job.spec, largest->name).v;
+  std::optional<Seconds> target;
+  auto tighten = [&](Seconds t) { target = target ? std::min(*target, t) : t; };
+  if (job.spec.deadline) tighten(*job.spec.deadline);
+  for (const Objective& o : options_.objectives) {
+    if (o.job_class != job.spec.job_class) continue;
+    if (o.kind == "finished") tighten(o.within);
+    if (o.kind == "wait") tighten(o.within + Seconds{longest});
+  }
+  if (!target) target = Seconds{options_.weights.target_factor * longest};
+  return *target - age;
+}
+
+// Lower ranks first: production and work within a guarantee, then by priority.
+std::pair<int, int> Scheduler::RankOf(const Job& job) const {
+  const bool first = job.spec.priority == Priority::kProduction || InGuarantee(job);
+  return {first ? 0 : 1, -static_cast<int>(job.spec.priority)};
+}
+
+std::vector<Scheduler::Job*> Scheduler::Ordered(WallTime wall) {
+  std::vector<std::tuple<int, int, double, const std::string*, Job*>> keyed;
+  for (auto& [id, job] : jobs_) {
+    if (job->pending.empty() || job->cancelled) continue;
+    const bool first = job->spec.priority == Priority::kProduction || InGuarantee(*job);
+    keyed.emplace_back(first ? 0 : 1, -static_cast<int>(job->spec.priority), TargetOf(*job, wall).v,
+                       &id.v, job.get());
+  }
+  std::sort(keyed.begin(), keyed.end(), [](const auto& a, const auto& b) {
+    return std::tie(std::get<0>(a), std::get<1>(a), std::get<2>(a), *std::get<3>(a)) <
+           std::tie(std::get<0>(b), std::get<1>(b), std::get<2>(b), *std::get<3>(b));
+  });
+  std::vector<Job*> jobs;
+  jobs.reserve(keyed.size());
+  for (auto& k : keyed) jobs.push_back(std::get<4>(k));
+  return jobs;
+}
+
+// When a task is expected to end. One that overruns is expected to go on for a
+// part of what it has taken already.
+Instant Scheduler::EndOf(const Job& job, const Task& t, const Machine& m, Instant now) const {
+  constexpr double kOverrun = 0.25;
+  constexpr Seconds kSoon{1};
+  Seconds run = table_.Expect(job.spec, m.type);
+  if (!t.running) {
+    const MachineType* type = fleet_.Find(m.type);
+    if (type != nullptr && type->fetch_gb_per_s > 0 && !HasImage(m, job.image))
+      run = run + Seconds{job.spec.image_gb / type->fetch_gb_per_s};
+  }
+  const Instant end = t.since + run;
+  return end > now ? end : now + std::max(kSoon, kOverrun * (now - t.since));
+}
+
+// Tasks of one shape may share a machine rented for any of them.
+std::string Scheduler::ShapeOf(const JobSpec& spec) {
+  std::string shape = spec.job_class + '|' + std::to_string(spec.each.cpus) + '|' +
+                      std::to_string(spec.each.memory_gb) + '|' + std::to_string(spec.each.gpus) +
+                      (spec.spot ? "|spot|" : "|") + spec.zone.value_or("");
+  if (spec.types)
+    for (const std::string& type : *spec.types) shape += '|' + type;
+  return shape;
+}
+
+bool Scheduler::KindAllows(const JobSpec& spec, const KindFacts& kind) const {
+  if (kind.type == nullptr || (kind.kind.spot && !spec.spot)) return false;
+  if (spec.types &&
+      std::find(spec.types->begin(), spec.types->end(), kind.kind.type) == spec.types->end())
+    return false;
+  return (!spec.zone || *spec.zone == kind.kind.zone) && spec.each.Fits(kind.type->room);
+}
+
+// The number of a kind of machine; kinds are few and never forgotten.
+std::size_t Scheduler::KindNumber(const MachineKind& kind) {
+  const auto [it, fresh] = kind_numbers_.try_emplace(kind, kinds_.size());
+  if (fresh) kinds_.push_back({kind, fleet_.Find(kind.type)});
+  return it->second;
+}
+
+Scheduler::Plan Scheduler::StartPlan(Instant now) {
+  constexpr double kBootLate = 2.5;  // then another machine is rented instead
+  Plan plan;
+  plan.use = team_use_;
+  plan.may_rent = renting_.empty() && list_seen_ && now >= fleet_next_;
+  plan.slots.reserve(machines_.size());
+  for (const auto& [id, m] : machines_) {
+    if (m->type.empty()) continue;
+    if (!m->kind) m->kind = KindNumber({m->type, m->zone, m->spot});
+    const KindFacts& kind = kinds_[*m->kind];
+    if (kind.type == nullptr) continue;
+    ++plan.have[kind.kind];
+    if (!Usable(*m)) continue;
+    const bool silent = now - m->heard > 2.5 * options_.report;
+    Instant from = now;
+    if (!m->up) {
+      if (now - m->born > kBootLate * kind.type->boot && m->tasks.empty()) continue;
+      from = std::max(now + Seconds{1}, m->born + kind.type->boot);
+    } else if (silent || m->suspected) {
+      continue;
+    }
+    Slot slot{m.get(), *m->kind, Lane(Room(*m, *kind.type), from), m->up && !m->addr.empty(),
+              !m->tasks.empty()};
+    for (const TaskId& task : m->tasks) {
+      const Job& job = *jobs_.at(task.job);
+      const Task& t = job.tasks[task.index];
+      if (t.state == TaskState::kEnding) continue;  // its room is free already
+      if (job.spec.kind == JobKind::kArray)
+        slot.lane.AddEnd(EndOf(job, t, *m, now), job.spec.each);
+      else if (job.cancelled)
+        slot.lane.AddEnd(now + Seconds{1}, job.spec.each);
+    }
+    plan.slots.push_back(std::move(slot));
+  }
+  return plan;
+}
+
+// Stops work of lower priority for tasks that would be late otherwise: on the
+// machines where the least run time is lost. True when some was stopped.
+bool Scheduler::MakeRoom(Plan& plan, Job& job, Instant now) {
+  constexpr Seconds kVictimsLeave{3};
+  constexpr double kMostLost = 1;  // in run times of the task that comes
+  constexpr std::size_t kMostAtOnce = 16;
+  if (now < job.preempt_after) return false;
+  job.preempt_after = now + kVictimsLeave;
+  struct Sacrifice {
+    double lost = 0;
+    Machine* machine = nullptr;
+    std::vector<TaskId> victims;
+  };
+  std::vector<Sacrifice> offers;
+  for (Slot& slot : plan.slots) {
+    if (!slot.now || slot.machine == nullptr || slot.machine->relayed) continue;
+    if (slot.machine->arrays == 0) continue;
+    const KindFacts& kind = kinds_[slot.kind];
+    if (!KindAllows(job.spec, kind) || !ZoneOk(job, kind.kind.zone)) continue;
+    if (job.spec.kind == JobKind::kService && !HasImage(*slot.machine, job.image)) continue;
+    std::vector<std::pair<double, TaskId>> candidates;
+    for (const TaskId& id : slot.machine->tasks) {
+      const Job& other = *jobs_.at(id.job);
+      const Task& t = other.tasks[id.index];
+      if (other.spec.kind != JobKind::kArray || other.spec.priority >= job.spec.priority ||
+          RankOf(other) <= RankOf(job) || t.state != TaskState::kBound || t.want_stop)
+        continue;
+      const bool saves = other.spec.checkpoint.v > 0;
+      const double lost = !t.running ? 0 : saves ? other.spec.save.v : (now - t.since).v;
+      candidates.emplace_back(lost * other.spec.each.cpus, id);
+    }
+    if (candidates.empty()) continue;
+    std::sort(candidates.begin(), candidates.end());
+    Resources room = Room(*slot.machine, *kind.type);
+    Sacrifice offer{0, slot.machine, {}};
+    for (const auto& [loss, id] : candidates) {
+      if (job.spec.each.Fits(room)) break;
+      room += jobs_.at(id.job)->spec.each;
+      offer.lost += loss;
+      offer.victims.push_back(id);
+    }
+    if (offer.victims.empty() || !job.spec.each.Fits(room)) continue;
+    const double worth = table_.Expect(job.spec, kind.kind.type).v * job.spec.each.cpus;
+    if (job.spec.kind == JobKind::kArray && offer.lost > kMostLost * worth) continue;
+    offers.push_back(std::move(offer));
+  }
+  std::sort(offers.begin(), offers.end(),
+            [](const Sacrifice& a, const Sacrifice& b) { return a.lost < b.lost; });
+  const std::size_t wanted = std::min(job.pending.size(), kMostAtOnce);
+  std::map<std::string, Resources> left = team_use_;
+  std::size_t made = 0;
+  for (const Sacrifice& offer : offers) {
+    if (made == wanted) break;
+    // Once stopped, work within its team's guarantee would come first again,
+    // and the room would go back and forth.
+    std::map<std::string, Resources> after = left;
+    bool spared = false;
+    for (const TaskId& id : offer.victims) {
+      const JobSpec& other = jobs_.at(id.job)->spec;
+      spared |= Guaranteed(other.team, after[other.team]);
+      after[other.team] -= other.each;
+    }
+    if (spared) continue;
+    left = std::move(after);
+    ++made;
+    for (const TaskId& id : offer.victims) {
+      Job& other = *FindJob(id.job);
+      Task& t = other.tasks[id.index];
+      t.want_stop = true;
+      t.grace = other.spec.checkpoint.v > 0 ? other.spec.save + Seconds{1} : Seconds{0};
+      if (options_.notes) Note("stop " + id.job.v + " for " + job.spec.id.v);
+    }
+    WantPush(*offer.machine);
+  }
+  return made > 0;
+}
+
+// The places where the tasks of one job could go. They are all alike, so the
+// machines are looked at once for the job; after that only the one just chosen
+// changes. Two heaps give the rule's two answers: the smallest machine with
+// room now and slack, and the soonest finisher.
+class Scheduler::Places {
+ public:
+  struct Place {
+    std::size_t slot = 0;
+    std::uint32_t version = 0;
+    Choice choice;
+    Instant start;
+  };
+
+  Places(const Scheduler& s, const Plan& plan, const Job& job, Seconds target, Instant now)
+      : s_(s), job_(job), target_(target), now_(now) {
+    facts_.resize(s.kinds_.size());
+    versions_.resize(plan.slots.size());
+    best_.reserve(plan.slots.size());
+    soonest_.reserve(plan.slots.size());
+    for (std::size_t i = 0; i < plan.slots.size(); ++i) Add(plan, i, false);
+    std::make_heap(best_.begin(), best_.end(), LaterKey);
+    std::make_heap(soonest_.begin(), soonest_.end(), LaterEnd);
+  }
+
+  // The slot's lane has changed, or the slot is new.
+  void Refresh(const Plan& plan, std::size_t slot) {
+    if (versions_.size() <= slot) versions_.resize(slot + 1);
+    ++versions_[slot];
+    Add(plan, slot, true);
+  }
+
+  std::optional<Place> Pick(const Plan& plan) {
+    if (auto place = Top(plan, best_, LaterKey)) return place;
+    return Top(plan, soonest_, LaterEnd);
+  }
+
+ private:
+  struct OfKind {
+    bool known = false;
+    bool allowed = false;
+    double run = 0;
+    double fetch = 0;
+  };
+  static std::tuple<bool, double, double, double> Key(const Place& p) {
+    return {p.choice.dear, p.choice.size, p.choice.wait.v, p.choice.spare};
+  }
+  static std::tuple<double, bool, double, double> End(const Place& p) {
+    return {(p.choice.wait + p.choice.run).v, p.choice.dear, p.choice.size, p.choice.spare};
+  }
+  static bool LaterKey(const Place& a, const Place& b) { return Key(a) > Key(b); }
+  static bool LaterEnd(const Place& a, const Place& b) { return End(a) > End(b); }
+
+  void Add(const Plan& plan, std::size_t i, bool heap) {
+    const Slot& slot = plan.slots[i];
+    if (slot.kind >= facts_.size()) facts_.resize(slot.kind + 1);
+    OfKind& of_kind = facts_[slot.kind];
+    const KindFacts& kind = s_.kinds_[slot.kind];
+    if (!of_kind.known) {
+      of_kind.known = true;
+      of_kind.allowed = s_.KindAllows(job_.spec, kind);
+      if (of_kind.allowed) {
+        of_kind.run = s_.table_.Expect(job_.spec, kind.kind.type).v;
+        if (kind.type->fetch_gb_per_s > 0)
+          of_kind.fetch = job_.spec.image_gb / kind.type->fetch_gb_per_s;
+      }
+    }
+    if (!of_kind.allowed) return;
+    const auto start = slot.lane.Earliest(job_.spec.each);
+    if (!start) return;
+    Place p;
+    p.slot = i;
+    p.version = versions_[i];
+    p.start = *start;
+    p.choice.dear = job_.spec.spot && !kind.kind.spot;
+    p.choice.size = kind.type->room.cpus;
+    p.choice.spare = slot.lane.room().cpus;
+    p.choice.now = slot.now && *start <= now_;
+    p.choice.wait = *start - now_;
+    if (slot.machine == nullptr || !s_.HasImage(*slot.machine, job_.image))
+      p.choice.wait = p.choice.wait + Seconds{of_kind.fetch};
+    p.choice.run = {of_kind.run};
+    if (p.choice.now && Slack(target_, p.choice, s_.options_.weights).v >= 0) {
+      best_.push_back(p);
+      if (heap) std::push_heap(best_.begin(), best_.end(), LaterKey);
+    }
+    soonest_.push_back(p);
+    if (heap) std::push_heap(soonest_.begin(), soonest_.end(), LaterEnd);
+  }
+
+  template <typename Later>
+  std::optional<Place> Top(const Plan& plan, std::vector<Place>& heap, Later later) {
+    while (!heap.empty()) {
+      const Place& p = heap.front();
+      // A zone that is full for the job stays full for the rest of the plan.
+      if (p.version == versions_[p.slot] &&
+          s_.ZoneOk(job_, s_.kinds_[plan.slots[p.slot].kind].kind.zone))
+        return p;
+      std::pop_heap(heap.begin(), heap.end(), later);
+      heap.pop_back();
+    }
+    return std::nullopt;
+  }
+
+  const Scheduler& s_;
+  const Job& job_;
+  Seconds target_;
+  Instant now_;
+  std::vector<OfKind> facts_;
+  std::vector<std::uint32_t> versions_;
+  std::vector<Place> best_;
+  std::vector<Place> soonest_;
+};
+
+// Finds places for the job's tasks: binds them, or lets them hold room on the
+// machines that finish them soonest, or plans machines for them. At most
+// `budget` tasks are looked at.
+void Scheduler::PlanJob(Plan& plan, Job& job, Instant now, WallTime wall, int& budget) {
+  const Seconds target = TargetOf(job, wall);
+  const bool service = job.spec.kind == JobKind::kService;
+  std::uint32_t* alike = plan.may_rent ? &plan.alike[job.shape] : nullptr;
+  Places places(*this, plan, job, target, now);
+  std::size_t waiting = 0;
+  while (job.pending.size() > waiting && budget > 0 && WithinLimit(job, plan.use)) {
+    --budget;
+    if (alike != nullptr && *alike > 0) --*alike;
+    const auto pick = places.Pick(plan);
+    const bool in_time = pick && Slack(target, pick->choice, options_.weights).v >= 0;
+    const bool at_once = pick && pick->choice.now;
+    if (!in_time && plan.may_rent && !at_once) {
+      if (const auto slot = PlanRental(
+              plan, job, target, now,
+              pick ? std::optional(pick->choice.wait + pick->choice.run) : std::nullopt)) {
+        places.Refresh(plan, *slot);
+        plan.use[job.spec.team] += job.spec.each;
+        ++waiting;
+        continue;
+      }
+    }
+    if (!in_time && !at_once) {
+      MakeRoom(plan, job, now);
+    } else if (!in_time && service && pick->choice.wait.v > 0 && MakeRoom(plan, job, now)) {
+      return;  // rather at once where the image is, than here after a fetch
+    }
+    if (!pick) return;
+    Slot& slot = plan.slots[pick->slot];
+    slot.needed = true;
+    slot.lane.Hold(
+        pick->start, job.spec.each,
+        service ? std::nullopt : std::optional(now + pick->choice.wait + pick->choice.run));
+    plan.use[job.spec.team] += job.spec.each;
+    if (at_once) {
+      const std::uint32_t index = job.pending.front();
+      job.pending.pop_front();
+      Bind(job, index, *slot.machine, now);
+    } else {
+      ++waiting;
+    }
+    places.Refresh(plan, pick->slot);
+  }
+}
+
+// A machine for the job's next task, if it is worth its price: only if it ends
+// the task clearly sooner than `otherwise`. The task holds its room.
+std::optional<std::size_t> Scheduler::PlanRental(Plan& plan, Job& job, Seconds target, Instant now,
+                                                 std::optional<Seconds> otherwise) {
+  constexpr double kLeastGain = 0.25;  // of boot or run time
+  std::optional<std::string> zone;
+  if (job.spec.together && !job.in_zone.empty()) zone = job.in_zone.begin()->first;
+  const Shortage shortage{
+      &job.spec, zone,       std::max(1U, plan.alike[job.shape]),
+      target,    !otherwise, [&](const MachineType& t) { return table_.Expect(job.spec, t.name); }};
+  const auto offer = fleet_.Plan(shortage, plan.have, now);
+  if (!offer || !ZoneOk(job, offer->kind.zone)) return std::nullopt;
+  const Seconds run = table_.Expect(job.spec, offer->kind.type);
+  const Seconds margin = std::max(kLeastGain * offer->type->boot, kLeastGain * run);
+  if (otherwise && offer->ready + run + margin >= *otherwise) return std::nullopt;
+  ++plan.orders[offer->kind];
+  ++plan.have[offer->kind];
+  Slot slot{nullptr, KindNumber(offer->kind), Lane(offer->type->room, now + offer->type->boot),
+            false, true};
+  slot.lane.Hold(
+      now + offer->type->boot, job.spec.each,
+      job.spec.kind == JobKind::kService ? std::nullopt : std::optional(now + offer->ready + run));
+  plan.slots.push_back(std::move(slot));
+  return plan.slots.size() - 1;
+}
+
+// Keeps room for the next services and rents it if there is none: one replica
+// for each image, where the image is if possible, and for each shape what the
+// largest of the latest services took and what arrives while a machine boots.
+void Scheduler::PlanSpare(Plan& plan, Instant now) {
+  constexpr double kMostOfRunning = 0.1;
+  struct Need {
+    const JobSpec* spec = nullptr;
+    double arrived = 0;
+    std::uint32_t largest = 0;
+    std::uint32_t held = 0;
+    std::vector<std::uint32_t> images;
+  };
+  std::map<std::string, Need> needs;
+  for (auto it = recent_.begin(); it != recent_.end();) {
+    const Recent& recent = it->second;
+    if (now - recent.at > options_.headroom_for) {
+      it = recent_.erase(it);
+      continue;
+    }
+    ++it;
+    if (recent.spec.kind != JobKind::kService) continue;
+    Need& need = needs[ShapeOf(recent.spec)];
+    need.spec = &recent.spec;
+    need.images.push_back(recent.image);
+    need.arrived += recent.weight * std::exp(-(now - recent.at).v / kArrivalMemory);
+    if (now - recent.at < Seconds{kArrivalMemory})
+      need.largest = std::max(need.largest, recent.spec.tasks);
+    for (std::uint32_t i = 0; i < options_.headroom; ++i) {
+      Slot* best = nullptr;
+      auto key = [&](const Slot& s) {
+        const bool cached = s.machine != nullptr && HasImage(*s.machine, recent.image);
+        return std::tuple(!s.now, !cached, !s.needed, kinds_[s.kind].type->price);
+      };
+      for (Slot& slot : plan.slots)
+        if (recent.spec.each.Fits(slot.lane.room()) && KindAllows(recent.spec, kinds_[slot.kind]) &&
+            (best == nullptr || key(slot) < key(*best)))
+          best = &slot;
+      if (best != nullptr) {
+        best->lane.Hold(now, recent.spec.each, std::nullopt);
+        best->needed = true;
+      } else if (plan.may_rent) {
+        RentSpare(plan, recent.spec, 1, now);
+      }
+      ++need.held;
+    }
+  }
+  double running = 0;
+  for (const auto& [id, job] : jobs_)
+    if (job->spec.kind == JobKind::kService) running += job->bound;
+  for (auto& [shape, need] : needs) {
+    const JobSpec& spec = *need.spec;
+    Seconds boot{};
+    for (const MachineType& type : fleet_.types()) boot = std::max(boot, type.boot);
+    // A flood, as after a long outage, is not taken for the usual rate.
+    const double arriving =
+        std::min(need.arrived / kArrivalMemory * boot.v, kMostOfRunning * running);
+    const auto all = static_cast<std::uint32_t>(std::ceil(
+        options_.headroom * std::max<double>(need.largest > 1 ? need.largest : 0, arriving)));
+    if (all <= need.held) continue;
+    std::uint32_t want = all - need.held;
+    std::vector<std::tuple<bool, int, bool, double, std::size_t>> order;
+    for (std::size_t i = 0; i < plan.slots.size(); ++i) {
+      const Slot& slot = plan.slots[i];
+      if (!spec.each.Fits(slot.lane.room()) || !KindAllows(spec, kinds_[slot.kind])) continue;
+      int cached = 0;
+      if (slot.machine != nullptr)
+        for (const std::uint32_t image : need.images) cached += HasImage(*slot.machine, image);
+      order.emplace_back(!slot.now, -cached, !slot.needed, kinds_[slot.kind].type->price, i);
+    }
+    std::sort(order.begin(), order.end());
+    // Replicas of one service may not all be in one zone.
+    const std::uint32_t most_in_zone = spec.apart ? (want + 1) / 2 : want;
+    std::map<std::string, std::uint32_t> in_zone;
+    for (const auto& key : order) {
+      Slot& slot = plan.slots[std::get<4>(key)];
+      std::uint32_t& here = in_zone[kinds_[slot.kind].kind.zone];
+      while (want > 0 && here < most_in_zone && spec.each.Fits(slot.lane.room())) {
+        slot.lane.Hold(now, spec.each, std::nullopt);
+        slot.needed = true;
+        ++here;
+        --want;
+      }
+      if (want == 0) break;
+    }
+    while (want > 0 && plan.may_rent) {
+      const std::uint32_t brought = RentSpare(plan, spec, want, now);
+      if (brought == 0) break;
+      want -= std::min(want, brought);
+    }
+  }
+}
+
+// Orders a machine for replicas to come; tells how many of them it holds.
+std::uint32_t Scheduler::RentSpare(Plan& plan, const JobSpec& spec, std::uint32_t tasks,
+                                   Instant now) {
+  const auto offer = fleet_.Plan({&spec, std::nullopt, tasks, Seconds{1e9}, false,
+                                  [](const MachineType&) { return Seconds{}; }},
+                                 plan.have, now);
+  if (!offer) return 0;
+  ++plan.orders[offer->kind];
+  ++plan.have[offer->kind];
+  return HowMany(offer->type->room, spec.each);
+}
+
+// Keeps the cheap idle machines that recent classes of arrays may soon use.
+void Scheduler::KeepCheap(Plan& plan, Instant now) {
+  for (auto& [name, recent] : recent_) {
+    const JobSpec& spec = recent.spec;
+    if (spec.kind != JobKind::kArray || now - recent.at > options_.spot_kept) continue;
+    std::uint32_t left = spec.tasks;
+    for (const bool used : {true, false}) {
+      for (Slot& slot : plan.slots) {
+        if (left == 0) break;
+        if (slot.needed != used || !kinds_[slot.kind].kind.spot ||
+            !KindAllows(spec, kinds_[slot.kind]))
+          continue;
+        while (left > 0 && spec.each.Fits(slot.lane.room())) {
+          slot.lane.Hold(now, spec.each, std::nullopt);
+          slot.needed = true;
+          --left;
+        }
+      }
+    }
+  }
+}
+
+void Scheduler::Order(const Plan& plan) {
+  for (const auto& [kind, count] : plan.orders) {
+    CloudCall call;
+    call.kind = CloudCall::Kind::kRent;
+    call.order = {rental_prefix_ + std::to_string(++rentals_), kind,
+                  std::min(count, fleet_.options().most_per_order)};
+    renting_.insert(call.order.name);
+    cloud_queue_.push_back(std::move(call));
+  }
+}
+
+void Scheduler::NoteArrival(Job& job, double tasks, Instant now) {
+  job.arrived = now;
+  // Services by image; arrays go by class alone.
+  const bool service = job.spec.kind == JobKind::kService;
+  Recent& recent = recent_[job.spec.job_class + (service ? " " + job.spec.image : "")];
+  recent.weight =
+      recent.weight * std::exp(-std::max(0.0, (now - recent.at).v) / kArrivalMemory) + tasks;
+  recent.spec = job.spec;
+  recent.image = job.image;
+  recent.at = now;
+}
+
+void Scheduler::Tick(Instant now, WallTime wall) {
+  constexpr int kMostPlanned = 4000;  // waiting tasks looked at in one go
+  constexpr double kFleetEvery = 1;
+  if (!loaded_) return;
+  wants_tick_ = false;
+  for (auto& [id, job] : jobs_) {
+    if (job->arrived.v == 0) NoteArrival(*job, job->spec.tasks, now);
+    if (job->cancelled && job->cancelled_at.v == 0) job->cancelled_at = now;
+  }
+  LookAfterMachines(now);
+  if (fleet_.types().empty()) return;
+  Plan plan = StartPlan(now);
+  const std::vector<Job*> ordered = Ordered(wall);
+  if (plan.may_rent)
+    for (const Job* job : ordered)
+      plan.alike[job->shape] += static_cast<std::uint32_t>(job->pending.size());
+  int budget = kMostPlanned;
+  bool spared = false;
+  for (Job* job : ordered) {
+    if (!spared && job->spec.priority != Priority::kProduction) {
+      PlanSpare(plan, now);  // before the rest takes the room
+      spared = true;
+    }
+    if (now < job->not_before || job->reload) continue;
+    PlanJob(plan, *job, now, wall, budget);
+  }
+  if (!spared) PlanSpare(plan, now);
+  KeepCheap(plan, now);
+  if (plan.may_rent) {
+    fleet_next_ = now + Seconds{kFleetEvery};
+    Order(plan);
+  }
+  Consolidate(plan, now);
+  ReturnIdle(plan, now);
+}
+
+}  // namespace magpie
--- a/src/core/run_time_table.h
+++ b/src/core/run_time_table.h
@@ -24,10 +24,14 @@
  private:
   using Cell = std::pair<std::string, int>;  // machine type, size of the task
   static int SizeOf(const JobSpec& spec);
-  static double Median(const std::deque<double>& ratios);
+  struct Ratios {
+    std::deque<double> latest;
+    double median = 1;  // looked up far more often than learned
+  };
+  static void Push(Ratios& ratios, double ratio);
 
-  std::map<Cell, std::deque<double>> cells_;
-  std::map<std::string, std::deque<double>> by_class_;
+  std::map<Cell, Ratios> cells_;
+  std::map<std::string, Ratios> by_class_;
 };
 
 }  // namespace magpie
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -121,6 +121,10 @@
     Seconds list_lag{5};
     std::size_t most_ops = 16;
     std::size_t most_bytes = 48 * 1024;
+    double writes_per_s = 1e9;  // puts and drops that the leader may use
+    // Zones with a controller of ours: it keeps the workers' leases when the
+    // zone is cut off.
+    std::set<std::string> guarded_zones;
     PlacementWeights weights;
     Seconds idle{20};       // an idle machine is returned after this
     Seconds least_age{60};  // what a machine costs at least
@@ -141,6 +145,12 @@
   void Stop();
   bool leading() const { return base_.v != 0; }
   bool loaded() const { return loaded_; }
+  // Something happened that placement should look at before its time.
+  bool wants_tick() const { return wants_tick_; }
+  // How many machines wait for commands.
+  std::size_t pushes_wanted() const { return push_wanted_.size(); }
+  // Looks through the machines if it is time; how many wait for a probe.
+  std::size_t ScanForProbes(Instant now);
   void SetTypes(std::vector<MachineType> types);
   void LoadJob(const JobSpec& spec, bool cancelled, Stamp stamp);
   void LoadBlock(const BlockKey& key, const std::vector<TaskRecord>& records, Stamp stamp);
@@ -181,6 +191,7 @@
   std::vector<std::string> TakeNotes() { return std::exchange(notes_, {}); }
 
   std::optional<JobCounts> Counts(const JobId& id) const;
+  std::map<JobId, JobCounts> AllCounts() const;
   Status GetStatus() const;
 
  private:
@@ -197,6 +208,7 @@
     bool overran = false;  // counted against its machine
     bool timed = false;    // its start was seen, so that its run time is known
     bool dirty = false;    // differs from the durable record
+    bool room = false;     // takes room on its machine
     Seconds grace;
     Attempt attempt;
     Machine* machine = nullptr;
@@ -210,6 +222,8 @@
 
   struct Job {
     JobSpec spec;
+    std::uint32_t image = 0;  // its image's number
+    std::string shape;        // see ShapeOf
     Stamp stamp;
     bool cancelled = false;
     Instant cancelled_at;
@@ -222,6 +236,8 @@
     Instant not_before;     // wait after errors
     Instant preempt_after;  // until then, earlier victims are leaving
     Instant arrived;
+    Instant dirty_since;
+    bool urgent = false;  // bindings wait to be written
     std::map<std::string, std::uint32_t> in_zone;
     bool writing = false;  // part of the write in flight
     bool reload = false;   // its record has changed under a write
@@ -233,17 +249,20 @@
     std::string type;
     std::string zone;
     bool spot = false;
-    bool up = false;  // has reported since the takeover
+    std::optional<std::size_t> kind;  // number in kinds_, once known
+    bool up = false;                  // has reported since the takeover
+    bool listed_running = false;
     bool listed_failed = false;
     bool releasing = false;  // a release was sent or is about to be
     bool release_open = false;
     bool cordoned = false;  // faulty: nothing more is put there
     bool draining = false;  // its replicas move to a cheaper place
     bool push_open = false;
-    bool reply_open = false;  // a reply with `run` may still be on its way
-    bool wants_push = false;
-    bool relayed = false;  // its reports come through another controller
-    bool reached = false;  // a push got through since then
+    bool reply_open = false;          // a reply with `run` may still be on its way
+    bool relayed = false;             // its reports come through another controller
+    bool reached = false;             // a push got through since then
+    bool suspected = false;           // it misses reports and does not answer
+    std::uint32_t failed_probes = 0;  // in a row, since it was last heard
     std::uint64_t session = 0;
     std::uint64_t seq = 0;
     Token seen;   // highest token the worker is known to have
@@ -257,8 +276,9 @@
     std::optional<Instant> notice_until;
     std::set<TaskId> tasks;  // binding, bound or ending here
     Resources used;
+    std::uint32_t arrays = 0;  // tasks of arrays that take room here
     std::vector<TaskReport> last;
-    std::deque<std::pair<std::string, double>> images;  // latest first
+    std::deque<std::pair<std::uint32_t, double>> images;  // latest first
     std::uint32_t errors_in_row = 0;
     std::deque<double> pace;  // latest run times, in expected ones
   };
@@ -266,6 +286,7 @@
   void Note(std::string text) {
     if (options_.notes) notes_.push_back(std::move(text));
   }
+  static JobCounts CountsOf(const Job& job);
   Job* FindJob(const JobId& id);
   Task* FindTask(const TaskId& id);
   Machine& Meet(const MachineId& id, Instant now);
@@ -275,25 +296,28 @@
   std::vector<Command> CommandsFor(Machine& m, Instant now);
   void Bind(Job& job, std::uint32_t index, Machine& m, Instant now);
   void Unbind(Job& job, std::uint32_t index, Instant now);
-  void MarkDirty(Job& job, std::uint32_t index);
+  void MarkDirty(Job& job, std::uint32_t index, Instant now);
+  void FreeRoom(Job& job, Task& t);
+  void WantPush(Machine& m);
+  std::uint32_t ImageNumber(const std::string& image);
   void SetDone(Job& job, std::uint32_t index, Instant now);
   void StopAll(Job& job);
+  std::vector<JobId> WriteOrder(Instant now) const;
   void MachineGone(const MachineId& id, Instant now);
   void DropJob(const JobId& id);
-  void NoteImage(Machine& m, const JobSpec& spec);
-  bool HasImage(const Machine& m, const std::string& image) const;
+  void NoteImage(Machine& m, const Job& job);
+  bool HasImage(const Machine& m, std::uint32_t image) const;
+  bool DueForProbe(const Machine& m, Instant now) const;
   bool Usable(const Machine& m) const;
-  bool Allowed(const Job& job, const Machine& m) const;
   bool ZoneOk(const Job& job, const std::string& zone) const;
   bool WithinLimit(const Job& job, const std::map<std::string, Resources>& use) const;
-  Resources Room(const Machine& m) const;
+  Resources Room(const Machine& m, const MachineType& type) const;
   Seconds TargetOf(const Job& job, WallTime wall) const;
   std::vector<Job*> Ordered(WallTime wall);
   // A machine in the plan: one that there is, or one about to be ordered.
   struct Slot {
     Machine* machine = nullptr;
-    MachineKind kind;
-    const MachineType* type = nullptr;
+    std::size_t kind = 0;  // number in kinds_
     Lane lane;
     bool now = false;     // commands can be sent there
     bool needed = false;  // the plan uses it
@@ -307,10 +331,30 @@
     // Tasks still to be placed that one machine could serve as well as another.
     std::map<std::string, std::uint32_t> alike;
   };
+  // A kind of machine with its type, if the cloud still offers it.
+  struct KindFacts {
+    MachineKind kind;
+    const MachineType* type = nullptr;
+  };
+  // The latest of a class of arrays, or of an image of services.
+  struct Recent {
+    JobSpec spec;
+    std::uint32_t image = 0;
+    double weight = 0;  // tasks that arrived, decaying
+    Instant at;
+  };
+  class Places;
+  static constexpr double kArrivalMemory = 120;  // seconds
   static std::string ShapeOf(const JobSpec& spec);
-  Plan StartPlan(Instant now) const;
+  std::size_t KindNumber(const MachineKind& kind);
+  bool KindAllows(const JobSpec& spec, const KindFacts& kind) const;
+  Plan StartPlan(Instant now);
+  void NoteArrival(Job& job, double tasks, Instant now);
   Instant EndOf(const Job& job, const Task& t, const Machine& m, Instant now) const;
-  bool PlanTask(Plan& plan, Job& job, Instant now, WallTime wall);
+  void PlanJob(Plan& plan, Job& job, Instant now, WallTime wall, int& budget);
+  std::optional<std::size_t> PlanRental(Plan& plan, Job& job, Seconds target, Instant now,
+                                        std::optional<Seconds> otherwise);
+  std::uint32_t RentSpare(Plan& plan, const JobSpec& spec, std::uint32_t tasks, Instant now);
   bool MakeRoom(Plan& plan, Job& job, Instant now);
   std::pair<int, int> RankOf(const Job& job) const;
   void PlanSpare(Plan& plan, Instant now);
@@ -318,13 +362,13 @@
   void Order(const Plan& plan);
   void ReturnIdle(const Plan& plan, Instant now);
   void Consolidate(const Plan& plan, Instant now);
-  bool SlotAllows(const JobSpec& spec, const Slot& slot) const;
   bool Guaranteed(const std::string& name, const Resources& use) const;
   bool InGuarantee(const Job& job) const;
   int CountKind(const MachineKind& kind) const;
   void NotePace(Machine& m, double ratio);
   void NoteOverruns(Machine& m, Instant now);
   void LookAfterMachines(Instant now);
+  std::set<std::string> ZonesInDoubt(Instant now);
   void HandleNotice(Machine& m, Instant now);
   bool Final(const Job& job) const;
 
@@ -338,6 +382,17 @@
   std::uint64_t rentals_ = 0;
   std::map<JobId, std::unique_ptr<Job>> jobs_;
   std::set<JobId> dirty_;
+  double write_budget_ = 0;
+  Instant write_refilled_;
+  bool wants_tick_ = false;
+  std::vector<KindFacts> kinds_;
+  std::map<MachineKind, std::size_t> kind_numbers_;
+  std::map<std::string, std::uint32_t> image_numbers_;
+  std::set<MachineId> push_wanted_;
+  std::deque<MachineId> probe_queue_;
+  Instant probe_scan_;
+  Instant alarm_until_;                          // machines were found dead
+  std::map<std::string, Instant> relayed_from_;  // latest relayed report of a zone
   std::map<MachineId, std::unique_ptr<Machine>> machines_;
   std::set<MachineId> gone_;
   std::deque<MachineId> gone_order_;
@@ -352,7 +407,7 @@
   bool list_seen_ = false;
   std::set<std::string> renting_;  // orders without an answer
   Instant fleet_next_;
-  std::map<std::string, std::pair<JobSpec, Instant>> recent_;  // latest of each class
+  std::map<std::string, Recent> recent_;
   Instant move_next_;
   std::vector<std::string> notes_;
 };
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -108,10 +108,14 @@
                                                     : handler_(request);
     } catch (const std::exception& e) {
       spdlog::error("request {} {}: {}", req.method, req.path, e.what());
-      response = {kServerError, R"({"error":"internal"})", false};
+      response = {kServerError, R"({"error":"internal"})"};
     }
     res.status = response.status;
     if (response.retry_after) res.set_header("Retry-After", "1");
+    if (response.brief && !FewOpen()) {
+      res.set_header("Connection", "close");
+      close_after = true;
+    }
     res.set_content(response.body, "application/json");
   };
   const char* any = ".*";
@@ -239,6 +243,13 @@
   ended_.notify_all();
 }
 
+// Clients that come seldom may outnumber the sockets: beyond a few, their
+// connections are not kept.
+bool HttpServer::FewOpen() {
+  std::lock_guard lock(mutex_);
+  return open_.size() <= limits_.few;
+}
+
 void HttpServer::Serve(int socket) {
   BlockingStream stream(socket);
   while (!stopping_ && stream.WaitForData()) {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -31,6 +31,7 @@
   int status = 200;
   std::string body;
   bool retry_after = false;  // tells the user when to come back
+  bool brief = false;        // the connection is kept only if few are open
 };
 
 class HttpServer : private httplib::Server {
@@ -39,6 +40,7 @@
 
   struct Limits {
     std::size_t connections = 400;
+    std::size_t few = 400;  // from so many on, brief ones are closed after an answer
     std::size_t body = 64 * 1024;
     Seconds idle{120};
   };
@@ -55,6 +57,7 @@
   void AcceptLoop();
   void ConnectionLoop();
   void Serve(int socket);
+  bool FewOpen();
 
   Handler handler_;
   Limits limits_;
--- a/src/state/http_store.cc
+++ b/src/state/http_store.cc
@@ -107,7 +107,7 @@
   const HttpAnswer answer =
       client_.Get("/watch?under=" + prefix + "&after=" + std::to_string(after.v) +
                       "&block_ms=" + std::to_string(static_cast<std::int64_t>(block.v * 1000)),
-                  block + Seconds{5});
+                  block.v > 0 ? block + Seconds{5} : Seconds{0});
   if (answer.answered && answer.status == 410) return {StoreEnd::kOk, true, {}, {}};
   if (answer.status != 200) return {EndOf(answer), false, {}, {}};
   return Parse<WatchResult>(answer, [](const Json& o, WatchResult& r) {
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -21,6 +21,8 @@
   Fault next_commit = Fault::kNone;
   bool outage = false;
   int commits = 0;
+  int watches = 0;
+  Stamp forgotten;  // changes before this one are not told any more
 
   GetResult Get(const std::string& key) override {
     if (outage) return {StoreEnd::kRefused, std::nullopt};
@@ -79,7 +81,14 @@
     return leases_.contains(lease.v) ? StoreEnd::kOk : StoreEnd::kBad;
   }
 
-  WatchResult Watch(const std::string&, Stamp, Seconds) override { return {}; }
+  WatchResult Watch(const std::string& prefix, Stamp after, Seconds) override {
+    ++watches;
+    if (outage) return {StoreEnd::kRefused, false, {}, {}};
+    WatchResult result{StoreEnd::kOk, after < forgotten, {}, tick_};
+    for (const WatchEvent& e : log_)
+      if (e.stamp > after && e.key.starts_with(prefix)) result.events.push_back(e);
+    return result;
+  }
 
   // Ends all leases, as when their holders died.
   void ExpireLeases() {
@@ -117,6 +126,7 @@
         keys_[c.key] = {*c.value, tick_, c.lease};
       else
         keys_.erase(c.key);
+      log_.push_back({c.key, c.value, tick_});
     }
     result.tick = tick_;
     return result;
@@ -127,6 +137,7 @@
   std::set<std::uint64_t> leases_;
   std::uint64_t last_lease_ = 0;
   std::deque<Transaction> late_;
+  std::vector<WatchEvent> log_;
 };
 
 }  // namespace magpie::testing
