--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -29,7 +29,7 @@
 constexpr Seconds kAfterRejection{0.05};
 constexpr Seconds kAfterDeposition{0.5};
 constexpr int kPushThreads = 12;
-constexpr int kProbeThreads = 12;
+constexpr int kProbeThreads = 24;
 constexpr Seconds kCountsEvery{2};
 constexpr Seconds kCountsKept{8};
 constexpr Seconds kRelayPause{2};
--- a/src/app/settings.cc
+++ b/src/app/settings.cc
@@ -112,6 +112,7 @@
     }
     objective.within = {o.NumberOr("within_s", 0, 0)};
     objective.share = o.NumberOr("share", 0, 0);
+    objective.times = o.NumberOr("times", 0, 1);
     s.objectives.push_back(std::move(objective));
   }
   const Section workers = cluster.Sub("workers");
--- a/src/core/dialogue.cc
+++ b/src/core/dialogue.cc
@@ -51,7 +51,6 @@
   }
   if (relayed && !m.relayed) m.reached = false;
   m.relayed = relayed;
-  if (relayed) relayed_from_[m.zone.empty() ? report.zone : m.zone] = now;
   if (std::tuple(report.session, report.seq) <= std::tuple(m.session, m.seq)) return reply;
   m.reply_open = false;  // the report before this one was answered or given up
   Absorb(m, report, false, now);
@@ -157,16 +156,7 @@
   // While the worker lists the attempt as ended, a late `run` of it does
   // nothing; and it is made to forget it only once no such command is open.
   if (entry.cause == EndCause::kError) {
-    // A machine is faulty when the tasks of healthy jobs fail on it; a job
-    // that fails wherever it runs says nothing about its machines.
-    ++job->errors;
-    if (job->errors < kFaultyJobErrors) {
-      ++m.errors_in_row;
-      if (m.errors_in_row >= kErrorsToCordon) m.cordoned = true;
-    }
-    const double pause =
-        std::min(kErrorPauseMost, job->errors < 3 ? 0.0 : std::exp2(job->errors - 3));
-    job->not_before = now + Seconds{pause};
+    NoteError(m, *job, now);
   } else if (entry.cause == EndCause::kUnknown) {
     job->not_before = now + Seconds{2};  // its description is not there yet
   } else if (entry.cause == EndCause::kNoRoom) {
@@ -175,6 +165,23 @@
   Unbind(*job, entry.task.index, now);
 }
 
+// A machine is faulty when the tasks of healthy jobs fail on it; a job that
+// fails wherever it runs says nothing about its machines. A job whose tasks
+// are done or run elsewhere is healthy, and one failure of such a job is
+// enough: a machine that fails what it gets at once would draw ever more.
+void Scheduler::NoteError(Machine& m, Job& job, Instant now) {
+  bool healthy = job.done > 0;
+  for (const Task& t : job.tasks) healthy |= t.running && t.machine != &m;
+  ++job.errors;
+  if (healthy || job.errors < kFaultyJobErrors) {
+    ++m.errors_in_row;
+    if (healthy || m.errors_in_row >= kErrorsToCordon) m.cordoned = true;
+  }
+  if (healthy) return;
+  const double pause = std::min(kErrorPauseMost, job.errors < 3 ? 0.0 : std::exp2(job.errors - 3));
+  job.not_before = now + Seconds{pause};
+}
+
 std::vector<Command> Scheduler::CommandsFor(Machine& m, Instant now) {
   std::vector<Command> commands;
   if (m.releasing || !m.up) return commands;
@@ -253,14 +260,14 @@
 // probed at once: after a takeover most will report by themselves meanwhile.
 std::size_t Scheduler::ScanForProbes(Instant now) {
   constexpr Seconds kScanEvery{0.25};
-  constexpr std::size_t kMostAtOnce = 12;
+  const std::size_t most_at_once = now < alarm_until_ ? 32 : 12;
   if (!loaded_) return 0;
   if (probe_queue_.empty() && now >= probe_scan_) {
     probe_scan_ = now + kScanEvery;
     std::vector<std::tuple<bool, Instant, const Machine*>> due;
     for (const auto& [id, m] : machines_)
       if (DueForProbe(*m, now)) due.emplace_back(m->tasks.empty(), m->heard, m.get());
-    const std::size_t most = std::min(due.size(), kMostAtOnce);
+    const std::size_t most = std::min(due.size(), most_at_once);
     std::partial_sort(due.begin(), due.begin() + static_cast<std::ptrdiff_t>(most), due.end());
     for (std::size_t i = 0; i < most; ++i) probe_queue_.push_back(std::get<2>(due[i])->id);
   }
--- a/src/core/machine_care.cc
+++ b/src/core/machine_care.cc
@@ -181,15 +181,17 @@
 
 // Zones whose silence is more likely a cut than as many deaths: half of the
 // machines are silent at once, or all have been for longer than so many could
-// be by chance, or some were relayed just now while the others still look for
-// a controller that reaches us.
+// be by chance, or a good part of them is relayed while the others still look
+// for a controller that reaches us.
 std::set<std::string> Scheduler::ZonesInDoubt(Instant now) {
   constexpr Seconds kMargin{1};
-  constexpr double kRelayedReports = 5;
+  constexpr double kRelayedReports = 2.5;
+  constexpr int kPart = 8;
   constexpr double kManyTimes = 8;  // in mean gaps between two reports of the zone
   constexpr Seconds kLeastGap{2.5};
   struct Zone {
     int silent = 0;
+    int relayed = 0;
     int all = 0;
     Instant heard;
   };
@@ -200,16 +202,15 @@
     Zone& zone = zones[m->zone];
     ++zone.all;
     if (now - m->heard > late) ++zone.silent;
+    if (m->relayed && now - m->heard < kRelayedReports * options_.report) ++zone.relayed;
     zone.heard = std::max(zone.heard, m->heard);
   }
   std::set<std::string> doubt;
   for (const auto& [name, zone] : zones) {
     const bool half = zone.silent > 1 && 2 * zone.silent >= zone.all;
     const Seconds gap = std::max(kLeastGap, (kManyTimes / zone.all) * options_.report);
-    const auto relayed = relayed_from_.find(name);
     if (half || (zone.all > 1 && now - zone.heard > gap) ||
-        (relayed != relayed_from_.end() &&
-         now - relayed->second < kRelayedReports * options_.report))
+        (zone.relayed > 0 && kPart * zone.relayed >= zone.all))
       doubt.insert(name);
   }
   return doubt;
--- a/src/core/planning.cc
+++ b/src/core/planning.cc
@@ -54,24 +54,37 @@
 }
 
 // How long from now until the job's present tasks should be done: its deadline
-// and what the objectives say of its class, the tightest of them.
-Seconds Scheduler::TargetOf(const Job& job, WallTime wall) const {
+// and what the objectives say of its class, the tightest of them that can still
+// be met, and how many are missed already.
+Scheduler::Due Scheduler::DueOf(const Job& job, WallTime wall) const {
+  // Work that is overdue by far is not put off any longer.
+  constexpr double kForgotten = 5;
   const Seconds age = wall - job.spec.submitted;
   double longest = job.spec.estimate.v;
   const MachineType* largest = nullptr;
   for (const MachineType& type : fleet_.types())
     if (largest == nullptr || type.room.cpus > largest->room.cpus) largest = &type;
   if (largest != nullptr) longest = table_.Expect(job.spec, largest->name).v;
-  std::optional<Seconds> target;
-  auto tighten = [&](Seconds t) { target = target ? std::min(*target, t) : t; };
-  if (job.spec.deadline) tighten(*job.spec.deadline);
+  std::vector<double> targets;
+  if (job.spec.deadline) targets.push_back(job.spec.deadline->v);
   for (const Objective& o : options_.objectives) {
     if (o.job_class != job.spec.job_class) continue;
-    if (o.kind == "finished") tighten(o.within);
-    if (o.kind == "wait") tighten(o.within + Seconds{longest});
+    if (o.kind == "finished") targets.push_back(o.within.v);
+    if (o.kind == "wait") targets.push_back(o.within.v + longest);
+    if (o.kind == "deadline" && job.spec.deadline && o.times > 1)
+      targets.push_back(o.times * job.spec.deadline->v);
   }
-  if (!target) target = Seconds{options_.weights.target_factor * longest};
-  return *target - age;
+  if (targets.empty()) targets.push_back(options_.weights.target_factor * longest);
+  std::sort(targets.begin(), targets.end());
+  Due due{{targets.front() - age.v}, 0};
+  if (job.spec.kind == JobKind::kService) return due;
+  for (const double target : targets) {
+    due.target = {target - age.v};
+    if (due.target.v >= longest) return due;
+    ++due.missed;
+  }
+  if (age.v > kForgotten * targets.back()) due.missed = 0;
+  return due;
 }
 
 // Lower ranks first: production and work within a guarantee, then by priority.
@@ -80,13 +93,14 @@
   return {first ? 0 : 1, -static_cast<int>(job.spec.priority)};
 }
 
+// Within a rank, work that can still be in time goes before work that can't:
+// under a load that is too much, each late job would else make the next one late.
 std::vector<Scheduler::Job*> Scheduler::Ordered(WallTime wall) {
-  std::vector<std::tuple<int, int, double, const std::string*, Job*>> keyed;
+  std::vector<std::tuple<std::pair<int, int>, int, double, const std::string*, Job*>> keyed;
   for (auto& [id, job] : jobs_) {
     if (job->pending.empty() || job->cancelled) continue;
-    const bool first = job->spec.priority == Priority::kProduction || InGuarantee(*job);
-    keyed.emplace_back(first ? 0 : 1, -static_cast<int>(job->spec.priority), TargetOf(*job, wall).v,
-                       &id.v, job.get());
+    const Due due = DueOf(*job, wall);
+    keyed.emplace_back(RankOf(*job), due.missed, due.target.v, &id.v, job.get());
   }
   std::sort(keyed.begin(), keyed.end(), [](const auto& a, const auto& b) {
     return std::tie(std::get<0>(a), std::get<1>(a), std::get<2>(a), *std::get<3>(a)) <
@@ -369,7 +383,7 @@
 // machines that finish them soonest, or plans machines for them. At most
 // `budget` tasks are looked at.
 void Scheduler::PlanJob(Plan& plan, Job& job, Instant now, WallTime wall, int& budget) {
-  const Seconds target = TargetOf(job, wall);
+  const Seconds target = DueOf(job, wall).target;
   const bool service = job.spec.kind == JobKind::kService;
   std::uint32_t* alike = plan.may_rent ? &plan.alike[job.shape] : nullptr;
   Places places(*this, plan, job, target, now);
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -45,7 +45,6 @@
   probe_queue_.clear();
   probe_scan_ = {};
   alarm_until_ = {};
-  relayed_from_.clear();
 }
 
 void Scheduler::SetTypes(std::vector<MachineType> types) {
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -298,6 +298,7 @@
   void Unbind(Job& job, std::uint32_t index, Instant now);
   void MarkDirty(Job& job, std::uint32_t index, Instant now);
   void FreeRoom(Job& job, Task& t);
+  void NoteError(Machine& m, Job& job, Instant now);
   void WantPush(Machine& m);
   std::uint32_t ImageNumber(const std::string& image);
   void SetDone(Job& job, std::uint32_t index, Instant now);
@@ -312,7 +313,11 @@
   bool ZoneOk(const Job& job, const std::string& zone) const;
   bool WithinLimit(const Job& job, const std::map<std::string, Resources>& use) const;
   Resources Room(const Machine& m, const MachineType& type) const;
-  Seconds TargetOf(const Job& job, WallTime wall) const;
+  struct Due {
+    Seconds target;  // from now
+    int missed = 0;  // targets that can't be met any more
+  };
+  Due DueOf(const Job& job, WallTime wall) const;
   std::vector<Job*> Ordered(WallTime wall);
   // A machine in the plan: one that there is, or one about to be ordered.
   struct Slot {
@@ -391,8 +396,7 @@
   std::set<MachineId> push_wanted_;
   std::deque<MachineId> probe_queue_;
   Instant probe_scan_;
-  Instant alarm_until_;                          // machines were found dead
-  std::map<std::string, Instant> relayed_from_;  // latest relayed report of a zone
+  Instant alarm_until_;  // machines were found dead
   std::map<MachineId, std::unique_ptr<Machine>> machines_;
   std::set<MachineId> gone_;
   std::deque<MachineId> gone_order_;
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -156,6 +156,7 @@
   std::string job_class;
   Seconds within;
   double share = 0;
+  double times = 1;  // of the deadline
 };
 
 enum class TaskMood { kFetching, kRunning, kSaving, kEnded };
