--- a/src/core/planning.cc
+++ b/src/core/planning.cc
@@ -54,8 +54,8 @@
 }
 
 // How long from now until the job's present tasks should be done: its deadline
-// and what the objectives say of its class, the tightest of them that can still
-// be met, and how many are missed already.
+// and what the objectives say of its class, the tightest of them that has not
+// passed yet.
 Scheduler::Due Scheduler::DueOf(const Job& job, WallTime wall) const {
   // Work that is overdue by far is not put off any longer.
   constexpr double kForgotten = 5;
@@ -76,14 +76,14 @@
   }
   if (targets.empty()) targets.push_back(options_.weights.target_factor * longest);
   std::sort(targets.begin(), targets.end());
-  Due due{{targets.front() - age.v}, 0};
+  Due due{{targets.front() - age.v}, false};
   if (job.spec.kind == JobKind::kService) return due;
   for (const double target : targets) {
+    // Only what has passed for certain is given up: estimates are often wrong.
     due.target = {target - age.v};
-    if (due.target.v >= longest) return due;
-    ++due.missed;
+    if (due.target.v >= 0) return due;
   }
-  if (age.v > kForgotten * targets.back()) due.missed = 0;
+  due.late = age.v < kForgotten * targets.back();
   return due;
 }
 
@@ -93,14 +93,14 @@
   return {first ? 0 : 1, -static_cast<int>(job.spec.priority)};
 }
 
-// Within a rank, work that can still be in time goes before work that can't:
+// Within a rank, work that can still be in time goes before work that is late:
 // under a load that is too much, each late job would else make the next one late.
 std::vector<Scheduler::Job*> Scheduler::Ordered(WallTime wall) {
-  std::vector<std::tuple<std::pair<int, int>, int, double, const std::string*, Job*>> keyed;
+  std::vector<std::tuple<std::pair<int, int>, bool, double, const std::string*, Job*>> keyed;
   for (auto& [id, job] : jobs_) {
     if (job->pending.empty() || job->cancelled) continue;
     const Due due = DueOf(*job, wall);
-    keyed.emplace_back(RankOf(*job), due.missed, due.target.v, &id.v, job.get());
+    keyed.emplace_back(RankOf(*job), due.late, due.target.v, &id.v, job.get());
   }
   std::sort(keyed.begin(), keyed.end(), [](const auto& a, const auto& b) {
     return std::tie(std::get<0>(a), std::get<1>(a), std::get<2>(a), *std::get<3>(a)) <
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -314,8 +314,8 @@
   bool WithinLimit(const Job& job, const std::map<std::string, Resources>& use) const;
   Resources Room(const Machine& m, const MachineType& type) const;
   struct Due {
-    Seconds target;  // from now
-    int missed = 0;  // targets that can't be met any more
+    Seconds target;     // from now
+    bool late = false;  // all of its targets have passed
   };
   Due DueOf(const Job& job, WallTime wall) const;
   std::vector<Job*> Ordered(WallTime wall);
