--- a/src/core/planning.cc
+++ b/src/core/planning.cc
@@ -65,25 +65,29 @@
   for (const MachineType& type : fleet_.types())
     if (largest == nullptr || type.room.cpus > largest->room.cpus) largest = &type;
   if (largest != nullptr) longest = table_.Expect(job.spec, largest->name).v;
-  std::vector<double> targets;
-  if (job.spec.deadline) targets.push_back(job.spec.deadline->v);
+  // When the work should be done, and until when that is possible for certain:
+  // estimates of run times are too often wrong to give anything up for.
+  std::vector<std::pair<double, double>> targets;
+  if (job.spec.deadline) targets.emplace_back(job.spec.deadline->v, job.spec.deadline->v);
   for (const Objective& o : options_.objectives) {
     if (o.job_class != job.spec.job_class) continue;
-    if (o.kind == "finished") targets.push_back(o.within.v);
-    if (o.kind == "wait") targets.push_back(o.within.v + longest);
+    if (o.kind == "finished") targets.emplace_back(o.within.v, o.within.v);
+    if (o.kind == "wait") targets.emplace_back(o.within.v + longest, o.within.v);
     if (o.kind == "deadline" && job.spec.deadline && o.times > 1)
-      targets.push_back(o.times * job.spec.deadline->v);
+      targets.emplace_back(o.times * job.spec.deadline->v, o.times * job.spec.deadline->v);
+  }
+  if (targets.empty()) {
+    const double target = options_.weights.target_factor * longest;
+    targets.emplace_back(target, target);
   }
-  if (targets.empty()) targets.push_back(options_.weights.target_factor * longest);
   std::sort(targets.begin(), targets.end());
-  Due due{{targets.front() - age.v}, false};
+  Due due{{targets.front().first - age.v}, false};
   if (job.spec.kind == JobKind::kService) return due;
-  for (const double target : targets) {
-    // Only what has passed for certain is given up: estimates are often wrong.
+  for (const auto& [target, until] : targets) {
     due.target = {target - age.v};
-    if (due.target.v >= 0) return due;
+    if (age.v <= until) return due;
   }
-  due.late = age.v < kForgotten * targets.back();
+  due.late = age.v < kForgotten * targets.back().first;
   return due;
 }
 
