--- a/src/core/planning.cc
+++ b/src/core/planning.cc
@@ -168,7 +168,7 @@
     const KindFacts& kind = kinds_[*m->kind];
     if (kind.type == nullptr) continue;
     ++plan.have[kind.kind];
-    if (!Usable(*m)) continue;
+    if (!Usable(*m) || m->retiring) continue;
     const bool silent = now - m->heard > 2.5 * options_.report;
     Instant from = now;
     if (!m->up) {
@@ -436,6 +436,7 @@
 std::optional<std::size_t> Scheduler::PlanRental(Plan& plan, Job& job, Seconds target, Instant now,
                                                  std::optional<Seconds> otherwise) {
   constexpr double kLeastGain = 0.25;  // of boot or run time
+  if (job.spec.kind == JobKind::kArray) plan.shortage = true;
   std::optional<std::string> zone;
   if (job.spec.together && !job.in_zone.empty()) zone = job.in_zone.begin()->first;
   const Shortage shortage{
@@ -446,6 +447,7 @@
   const Seconds run = table_.Expect(job.spec, offer->kind.type);
   const Seconds margin = std::max(kLeastGain * offer->type->boot, kLeastGain * run);
   if (otherwise && offer->ready + run + margin >= *otherwise) return std::nullopt;
+  if (CallBack(job)) return std::nullopt;
   ++plan.orders[offer->kind];
   ++plan.have[offer->kind];
   Slot slot{nullptr, KindNumber(offer->kind), Lane(offer->type->room, now + offer->type->boot),
@@ -457,6 +459,18 @@
   return plan.slots.size() - 1;
 }
 
+// Machines that were to be emptied are used again before others are rented.
+bool Scheduler::CallBack(const Job& job) {
+  bool any = false;
+  for (auto& [id, m] : machines_) {
+    if (!m->retiring || !m->kind || !KindAllows(job.spec, kinds_[*m->kind]) || !Usable(*m))
+      continue;
+    m->retiring = false;
+    any = true;
+  }
+  return any;
+}
+
 // Keeps room for the next services and rents it if there is none: one replica
 // for each image, where the image is if possible, and for each shape what the
 // largest of the latest services took and what arrives while a machine boots.
@@ -496,7 +510,7 @@
           best = &slot;
       if (best != nullptr) {
         best->lane.Hold(now, recent.spec.each, std::nullopt);
-        best->needed = true;
+        best->needed = best->spare = true;
       } else if (plan.may_rent) {
         RentSpare(plan, recent.spec, 1, now);
       }
@@ -535,7 +549,7 @@
       std::uint32_t& here = in_zone[kinds_[slot.kind].kind.zone];
       while (want > 0 && here < most_in_zone && spec.each.Fits(slot.lane.room())) {
         slot.lane.Hold(now, spec.each, std::nullopt);
-        slot.needed = true;
+        slot.needed = slot.spare = true;
         ++here;
         --want;
       }
@@ -638,7 +652,9 @@
     fleet_next_ = now + Seconds{kFleetEvery};
     Order(plan);
   }
+  if (plan.shortage || renting_.size() > 0) calm_from_ = now;
   Consolidate(plan, now);
+  RetireDear(plan, now);
   ReturnIdle(plan, now);
 }
 
