Relay workers that come back from a leader out of their reach; hold on to the leader's lease

Workers of one zone never had the new token, so every controller sent them to the leader again, which they could not reach, until 450 tasks were killed by their leases. Also, a crowd of submissions made the state service refuse the leader's lease renewals, and the next try came a second later.

--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -33,6 +33,9 @@
 constexpr Seconds kCountsEvery{2};
 constexpr Seconds kCountsKept{8};
 constexpr Seconds kRelayPause{2};
+constexpr Seconds kSoonestReturn{3};
+constexpr std::size_t kSentOnRemembered = 4096;
+constexpr Seconds kStepAgain{0.25};  // when the state service refused
 constexpr double kTickShare = 0.25;  // of the time that a tick may take
 constexpr Seconds kLeastTickGap{0.05};
 constexpr std::uint32_t kPage = 500;
@@ -318,9 +321,17 @@
   {
     std::lock_guard lock(mutex_);
     if (!scheduler_.leading()) leader = leader_label_;
-    // It has talked to the present leader and now comes here: it can't reach
-    // the leader any more, but we may.
+    // It has talked to the present leader and now comes here, or we sent it
+    // there and it is back: it can't reach the leader, but we may.
     lost_leader = EpochOf(report.token) == epoch_;
+    const Instant now = SteadyNow();
+    if (!lost_leader && !leader.empty()) {
+      if (sent_on_.size() >= kSentOnRemembered) sent_on_.clear();
+      Instant& sent = sent_on_[report.machine];
+      const Seconds since = now - sent;
+      lost_leader = kSoonestReturn < since && since < settings_.lease;
+      if (!lost_leader) sent = now;
+    }
   }
   if (leader.empty()) {
     std::lock_guard lock(membership_mutex_);
@@ -357,7 +368,7 @@
     if (try_it) relay_after_ = now + kRelayPause;
     if (!relay_failing_) relay_failing_ = now;
     const bool cut_off = state_failed_ > state_reached_;
-    if (EpochOf(report.token) == epoch_ &&
+    if (EpochOf(report.token) <= epoch_ &&
         (cut_off || now - *relay_failing_ > 1.5 * settings_.leader_lease))
       return {200, wire::ReplyToJson(report.token, {}).dump()};
     return Plain(421);
@@ -384,6 +395,7 @@
   if (leader_label_ != view.leader) {
     relay_failing_.reset();
     relay_after_ = {};
+    sent_on_.clear();
   }
   leader_label_ = view.leader;
   epoch_ = view.epoch;
@@ -409,9 +421,11 @@
 void Controller::MembershipLoop() {
   Membership membership(store_, settings_.label, Nonce(), settings_.leader_lease);
   for (;;) {
-    Adopt(membership.Step());
+    const Membership::View& view = membership.Step();
+    Adopt(view);
+    const Seconds step = view.reached ? kStep : kStepAgain;
     std::unique_lock lock(membership_mutex_);
-    membership_wake_.wait_for(lock, duration<double>(kStep.v),
+    membership_wake_.wait_for(lock, duration<double>(step.v),
                               [this] { return membership_nudged_; });
     const bool nudged = std::exchange(membership_nudged_, false);
     lock.unlock();
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -102,6 +102,8 @@
   // Since when and until when the leader counts as out of reach from here.
   std::optional<Instant> relay_failing_;
   Instant relay_after_;
+  // Workers sent to the present leader: who comes back soon can't reach it.
+  std::map<MachineId, Instant> sent_on_;
   bool tick_due_ = false;
 };
 
--- a/src/core/machine_care.cc
+++ b/src/core/machine_care.cc
@@ -221,12 +221,12 @@
   constexpr Seconds kLeastSilence{4};
   constexpr double kReportsAtLeast = 2.5;
   constexpr Seconds kAlarm{10};
-  constexpr double kCutLeases = 6;
+  constexpr Seconds kCutLonger{80};
   const std::set<std::string> doubt = ZonesInDoubt(now);
   // A machine cut off is left alone until its lease must have ended; longer in
   // zones where a controller of ours may go on renewing it.
   const Seconds lease_ended = std::max(options_.silent, options_.lease + 2.0 * options_.report);
-  const Seconds long_cut = std::max(lease_ended, kCutLeases * options_.lease);
+  const Seconds long_cut = lease_ended + kCutLonger;
   const Seconds lone = std::max(options_.silent, kReportsAtLeast * options_.report);
   for (auto& [id, m] : machines_) {
     if (m->releasing) continue;
