--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -33,8 +33,6 @@
 constexpr Seconds kCountsEvery{2};
 constexpr Seconds kCountsKept{8};
 constexpr Seconds kRelayPause{2};
-constexpr Seconds kSoonestReturn{3};
-constexpr std::size_t kSentOnRemembered = 4096;
 constexpr Seconds kStepAgain{0.25};  // when the state service refused
 constexpr double kTickShare = 0.25;  // of the time that a tick may take
 constexpr Seconds kLeastTickGap{0.05};
@@ -92,6 +90,7 @@
       store_(settings.state, kStateTimeout),
       watch_store_(settings.state, kStateTimeout),
       cloud_(settings.cloud, kCloudTimeout),
+      redirects_(settings.lease),
       scheduler_(CoreOptions(settings), {settings.refused_pause, settings.most_per_order}) {
   for (const Member& m : settings_.others)
     peers_[m.label] = std::make_unique<HttpClient>(m.mesh, Seconds{0.7}, kMeshTimeout, 2);
@@ -324,14 +323,8 @@
     // It has talked to the present leader and now comes here, or we sent it
     // there and it is back: it can't reach the leader, but we may.
     lost_leader = EpochOf(report.token) == epoch_;
-    const Instant now = SteadyNow();
-    if (!lost_leader && !leader.empty()) {
-      if (sent_on_.size() >= kSentOnRemembered) sent_on_.clear();
-      Instant& sent = sent_on_[report.machine];
-      const Seconds since = now - sent;
-      lost_leader = kSoonestReturn < since && since < settings_.lease;
-      if (!lost_leader) sent = now;
-    }
+    if (!lost_leader && !leader.empty())
+      lost_leader = redirects_.CameBack(report.machine, SteadyNow());
   }
   if (leader.empty()) {
     std::lock_guard lock(membership_mutex_);
@@ -395,7 +388,7 @@
   if (leader_label_ != view.leader) {
     relay_failing_.reset();
     relay_after_ = {};
-    sent_on_.clear();
+    redirects_.Forget();
   }
   leader_label_ = view.leader;
   epoch_ = view.epoch;
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -12,6 +12,7 @@
 
 #include "app/job_api.h"
 #include "app/membership.h"
+#include "app/redirects.h"
 #include "app/settings.h"
 #include "cloud/cloud_client.h"
 #include "core/scheduler.h"
@@ -93,6 +94,7 @@
   std::condition_variable push_wake_;
   std::condition_variable probe_wake_;
   std::condition_variable cloud_wake_;
+  Redirects redirects_;
   Scheduler scheduler_;
   std::optional<Leadership> leadership_;
   std::string leader_label_;
@@ -102,8 +104,6 @@
   // Since when and until when the leader counts as out of reach from here.
   std::optional<Instant> relay_failing_;
   Instant relay_after_;
-  // Workers sent to the present leader: who comes back soon can't reach it.
-  std::map<MachineId, Instant> sent_on_;
   bool tick_due_ = false;
 };
 
--- a/src/core/machine_care.cc
+++ b/src/core/machine_care.cc
@@ -259,7 +259,6 @@
                 now - loaded_at_ > options_.lease;
     }
     if ((m->cordoned || m->draining) && m->tasks.empty()) release = true;
-    if (m->retiring && m->tasks.empty() && now - m->born > options_.least_age) release = true;
     if (m->notice_until && m->tasks.empty()) release = true;
     if (m->notice_until) HandleNotice(*m, now);
     if (release) {
@@ -293,37 +292,6 @@
   }
 }
 
-// Ordinary machines that were rented for a burst of arrays would be fed by the
-// next arrays for ever. While arrays lack nothing, the least used of them that
-// hold no replicas get no more, a few at a time, and are returned when empty.
-void Scheduler::RetireDear(const Plan& plan, Instant now) {
-  constexpr Seconds kCalm{15};
-  constexpr Seconds kEvery{3};
-  constexpr double kPart = 0.05;
-  if (now < retire_next_ || now - std::max(calm_from_, loaded_at_) < kCalm) return;
-  std::vector<std::pair<double, Machine*>> candidates;
-  for (const Slot& slot : plan.slots) {
-    Machine* m = slot.machine;
-    const KindFacts& kind = kinds_[slot.kind];
-    if (m == nullptr || kind.kind.spot || slot.spare || !m->up || m->releasing) continue;
-    const bool arrays = std::all_of(m->tasks.begin(), m->tasks.end(), [&](const TaskId& id) {
-      return jobs_.at(id.job)->spec.kind == JobKind::kArray;
-    });
-    if (!arrays || m->tasks.empty()) continue;  // idle ones are returned anyway
-    candidates.emplace_back(
-        m->used.cpus / std::max(kind.type->room.cpus, 1.0) - kind.type->price * 1e-3, m);
-  }
-  if (candidates.empty()) return;
-  retire_next_ = now + kEvery;
-  const auto most =
-      static_cast<std::size_t>(std::ceil(kPart * static_cast<double>(candidates.size())));
-  std::sort(candidates.begin(), candidates.end());
-  for (std::size_t i = 0; i < most; ++i) {
-    candidates[i].second->retiring = true;
-    Note("retire " + candidates[i].second->id.v);
-  }
-}
-
 // Empties a machine that is mostly unused but for a few replicas, when these
 // can go on at once on other machines: such as are kept anyway, or cheaper
 // ones that would be returned.
--- a/src/core/planning.cc
+++ b/src/core/planning.cc
@@ -168,7 +168,7 @@
     const KindFacts& kind = kinds_[*m->kind];
     if (kind.type == nullptr) continue;
     ++plan.have[kind.kind];
-    if (!Usable(*m) || m->retiring) continue;
+    if (!Usable(*m)) continue;
     const bool silent = now - m->heard > 2.5 * options_.report;
     Instant from = now;
     if (!m->up) {
@@ -283,7 +283,7 @@
     Instant start;
   };
 
-  Places(const Scheduler& s, const Plan& plan, const Job& job, Seconds target, Instant now)
+  Places(Scheduler& s, const Plan& plan, const Job& job, Seconds target, Instant now)
       : s_(s), job_(job), target_(target), now_(now) {
     facts_.resize(s.kinds_.size());
     versions_.resize(plan.slots.size());
@@ -324,6 +324,7 @@
 
   void Add(const Plan& plan, std::size_t i, bool heap) {
     const Slot& slot = plan.slots[i];
+    ++s_.places_looked_at_;
     if (slot.kind >= facts_.size()) facts_.resize(slot.kind + 1);
     OfKind& of_kind = facts_[slot.kind];
     const KindFacts& kind = s_.kinds_[slot.kind];
@@ -373,7 +374,7 @@
     return std::nullopt;
   }
 
-  const Scheduler& s_;
+  Scheduler& s_;
   const Job& job_;
   Seconds target_;
   Instant now_;
@@ -436,7 +437,6 @@
 std::optional<std::size_t> Scheduler::PlanRental(Plan& plan, Job& job, Seconds target, Instant now,
                                                  std::optional<Seconds> otherwise) {
   constexpr double kLeastGain = 0.25;  // of boot or run time
-  if (job.spec.kind == JobKind::kArray) plan.shortage = true;
   std::optional<std::string> zone;
   if (job.spec.together && !job.in_zone.empty()) zone = job.in_zone.begin()->first;
   const Shortage shortage{
@@ -447,7 +447,6 @@
   const Seconds run = table_.Expect(job.spec, offer->kind.type);
   const Seconds margin = std::max(kLeastGain * offer->type->boot, kLeastGain * run);
   if (otherwise && offer->ready + run + margin >= *otherwise) return std::nullopt;
-  if (CallBack(job)) return std::nullopt;
   ++plan.orders[offer->kind];
   ++plan.have[offer->kind];
   Slot slot{nullptr, KindNumber(offer->kind), Lane(offer->type->room, now + offer->type->boot),
@@ -459,18 +458,6 @@
   return plan.slots.size() - 1;
 }
 
-// Machines that were to be emptied are used again before others are rented.
-bool Scheduler::CallBack(const Job& job) {
-  bool any = false;
-  for (auto& [id, m] : machines_) {
-    if (!m->retiring || !m->kind || !KindAllows(job.spec, kinds_[*m->kind]) || !Usable(*m))
-      continue;
-    m->retiring = false;
-    any = true;
-  }
-  return any;
-}
-
 // Keeps room for the next services and rents it if there is none: one replica
 // for each image, where the image is if possible, and for each shape what the
 // largest of the latest services took and what arrives while a machine boots.
@@ -510,7 +497,7 @@
           best = &slot;
       if (best != nullptr) {
         best->lane.Hold(now, recent.spec.each, std::nullopt);
-        best->needed = best->spare = true;
+        best->needed = true;
       } else if (plan.may_rent) {
         RentSpare(plan, recent.spec, 1, now);
       }
@@ -549,7 +536,7 @@
       std::uint32_t& here = in_zone[kinds_[slot.kind].kind.zone];
       while (want > 0 && here < most_in_zone && spec.each.Fits(slot.lane.room())) {
         slot.lane.Hold(now, spec.each, std::nullopt);
-        slot.needed = slot.spare = true;
+        slot.needed = true;
         ++here;
         --want;
       }
@@ -652,9 +639,7 @@
     fleet_next_ = now + Seconds{kFleetEvery};
     Order(plan);
   }
-  if (plan.shortage || renting_.size() > 0) calm_from_ = now;
   Consolidate(plan, now);
-  RetireDear(plan, now);
   ReturnIdle(plan, now);
 }
 
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -40,6 +40,7 @@
   renting_.clear();
   recent_.clear();
   wants_tick_ = false;
+  places_looked_at_ = 0;
   image_numbers_.clear();
   push_wanted_.clear();
   probe_queue_.clear();
@@ -502,6 +503,7 @@
 
 Status Scheduler::GetStatus() const {
   Status s;
+  s.places_looked_at = places_looked_at_;
   s.jobs = jobs_.size();
   for (const auto& [id, job] : jobs_) {
     s.pending += job->pending.size();
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -108,6 +108,7 @@
   std::size_t bound = 0;
   std::size_t machines_up = 0;
   std::size_t machines_starting = 0;
+  std::uint64_t places_looked_at = 0;  // by placement, since the takeover
 };
 
 class Scheduler {
@@ -257,7 +258,6 @@
     bool release_open = false;
     bool cordoned = false;  // faulty: nothing more is put there
     bool draining = false;  // its replicas move to a cheaper place
-    bool retiring = false;  // its arrays end there, and it gets no more
     bool push_open = false;
     bool reply_open = false;          // a reply with `run` may still be on its way
     bool relayed = false;             // its reports come through another controller
@@ -327,7 +327,6 @@
     Lane lane;
     bool now = false;     // commands can be sent there
     bool needed = false;  // the plan uses it
-    bool spare = false;   // room is kept there for services to come
   };
   struct Plan {
     std::vector<Slot> slots;
@@ -335,7 +334,6 @@
     std::map<MachineKind, std::uint32_t> orders;
     std::map<std::string, Resources> use;  // of the teams, holds included
     bool may_rent = false;
-    bool shortage = false;  // arrays would be late on what there is
     // Tasks still to be placed that one machine could serve as well as another.
     std::map<std::string, std::uint32_t> alike;
   };
@@ -370,8 +368,6 @@
   void Order(const Plan& plan);
   void ReturnIdle(const Plan& plan, Instant now);
   void Consolidate(const Plan& plan, Instant now);
-  void RetireDear(const Plan& plan, Instant now);
-  bool CallBack(const Job& job);
   bool Guaranteed(const std::string& name, const Resources& use) const;
   bool InGuarantee(const Job& job) const;
   int CountKind(const MachineKind& kind) const;
@@ -395,6 +391,7 @@
   double write_budget_ = 0;
   Instant write_refilled_;
   bool wants_tick_ = false;
+  std::uint64_t places_looked_at_ = 0;
   std::vector<KindFacts> kinds_;
   std::map<MachineKind, std::size_t> kind_numbers_;
   std::map<std::string, std::uint32_t> image_numbers_;
@@ -418,8 +415,6 @@
   Instant fleet_next_;
   std::map<std::string, Recent> recent_;
   Instant move_next_;
-  Instant calm_from_;  // since then arrays have had all they need
-  Instant retire_next_;
   std::vector<std::string> notes_;
 };
 
--- /dev/null
+++ b/tests/growth_test.cc
@@ -0,0 +1,232 @@
+// Stories of large deployments, and of failures found on their days.
+#include "app/job_mirror.h"
+#include "app/redirects.h"
+#include "world.h"
+
+namespace magpie::testing {
+namespace {
+
+TaskId T(const std::string& job, std::uint32_t index = 0) { return {{job}, index}; }
+
+// Fails all probes that are due; how many there were.
+int FailProbes(Node& node, Instant now) {
+  int n = 0;
+  for (; auto probe = node.core.NextProbe(now); ++n)
+    node.core.OnPushEnd(*probe, PushEnd::kNotSent, std::nullopt, now);
+  return n;
+}
+
+std::set<MachineId> Released(const std::vector<CloudCall>& calls) {
+  std::set<MachineId> all;
+  for (const CloudCall& call : calls) all.insert(call.release.begin(), call.release.end());
+  return all;
+}
+
+// Each waiting task once looked at every machine: the leader fell behind for
+// good when there were thousands of both.
+TEST_F(World, ATickLooksAtEachMachineOncePerJob) {
+  constexpr std::uint32_t kMachines = 2000;
+  constexpr std::uint32_t kTasks = 3000;
+  constexpr std::uint32_t kJobs = 3;
+  Node& node = AddNode("n0");
+  for (std::uint32_t i = 0; i < kMachines; ++i) AddWorker("m-" + std::to_string(i));
+  ASSERT_TRUE(node.TakeOver(now));
+  for (FakeWorker& w : workers_) Report(node, w);
+  for (std::uint32_t j = 1; j <= kJobs; ++j) {
+    JobSpec spec = MakeJob("j-" + std::to_string(j), kTasks / kJobs);
+    spec.deadline = Seconds{1000};
+    Run(node, spec);
+  }
+  node.core.Tick(now, wall);
+  EXPECT_EQ(node.core.GetStatus().bound, kTasks);
+  EXPECT_LE(node.core.GetStatus().places_looked_at, kJobs * kMachines + kTasks);
+}
+
+TEST_F(World, ManyPollsShareOneRead) {
+  Node& node = AddNode("n0");
+  ASSERT_EQ(Submit(node, MakeJob("j-1")), 201);
+  JobMirror mirror(store, Seconds{0}, {[] { return Instant{1}; }, [](Seconds) {}});
+  ASSERT_TRUE(mirror.Look({"j-1"}).live.has_value());
+  const int commits = store.commits;
+  const int watches = store.watches;
+  ASSERT_EQ(node.api.Cancel("j-1").status, 200);
+  EXPECT_TRUE(mirror.Look({"j-1"}).live->cancelled) << "a change since is seen";
+  EXPECT_FALSE(mirror.Look({"j-2"}).live.has_value());
+  EXPECT_LE(store.watches - watches, 3);
+  EXPECT_EQ(store.commits - commits, 1);
+  ASSERT_EQ(Submit(node, MakeJob("j-3")), 201);
+  store.forgotten = store.tick();  // too many changes ago: read anew
+  EXPECT_TRUE(mirror.Look({"j-3"}).live.has_value());
+  store.outage = true;
+  EXPECT_FALSE(mirror.Look({"j-1"}).reached) << "what can't be checked is not told";
+}
+
+// Found on a drawn day: two zones were apart when the leader changed, and the
+// workers of one were sent to and fro until their leases ended.
+TEST(Redirects, WhoComesBackFromTheLeaderCantReachIt) {
+  Redirects redirects(Seconds{45});
+  const MachineId m{"m-1"};
+  EXPECT_FALSE(redirects.CameBack(m, Instant{100}));
+  EXPECT_FALSE(redirects.CameBack(m, Instant{101})) << "too soon to have been there";
+  EXPECT_TRUE(redirects.CameBack(m, Instant{109}));
+  EXPECT_FALSE(redirects.CameBack(m, Instant{300})) << "long ago says nothing";
+  redirects.Forget();
+  EXPECT_FALSE(redirects.CameBack(m, Instant{306}));
+}
+
+// Found on a day when many machines failed all they got: each drew several
+// tasks before it was left alone.
+TEST_F(World, OneFailureOfAHealthyJobIsEnough) {
+  Node& node = AddNode("n0");
+  FakeWorker& first = AddWorker("m-1");
+  FakeWorker& second = AddWorker("m-2");
+  ASSERT_TRUE(node.TakeOver(now));
+  Settle(node);
+  Run(node, MakeJob("j-1", 1));
+  Settle(node);
+  FakeWorker& one = first.Live() > 0 ? first : second;
+  one.EndAll(EndCause::kError);
+  Report(node, one);
+  node.core.Tick(now, wall);
+  EXPECT_TRUE(Released(RunCloud(node)).empty()) << "the job may be at fault";
+  Settle(node);
+  Run(node, MakeJob("j-2", 3));
+  Settle(node);
+  FakeWorker& sick = first.Has(T("j-2", 0)) ? first : second;
+  FakeWorker& good = &sick == &first ? second : first;
+  ASSERT_GT(good.Live(), 0U);
+  sick.EndAll(EndCause::kError);
+  Settle(node, 1);
+  Settle(node, 1);
+  EXPECT_EQ(Released(RunCloud(node)), std::set<MachineId>{sick.id()});
+}
+
+// Found on a day when 72 machines died at once: they were given up only after
+// many report intervals. A machine that misses a report and does not answer
+// two probes is gone, unless its zone is silent.
+TEST_F(World, ADeadMachineIsToldFromACutZone) {
+  Node& node = AddNode("n0");
+  for (int i = 0; i < 6; ++i) AddWorker("m-" + std::to_string(i));
+  ASSERT_TRUE(node.TakeOver(now));
+  Settle(node);
+  Run(node, MakeJob("j-1", 12));
+  Settle(node);
+  const MachineId dead{"m-0"};
+  silent_.insert(dead);
+  for (int i = 0; i < 6; ++i) {
+    Pass(1);
+    FailProbes(node, now);
+    Settle(node, 1);
+  }
+  EXPECT_EQ(Released(RunCloud(node)), std::set<MachineId>{dead});
+  for (FakeWorker& w : workers_) silent_.insert(w.id());
+  for (int i = 0; i < 10; ++i) {
+    Pass(1);
+    FailProbes(node, now);
+    node.core.Tick(now, wall);
+  }
+  EXPECT_TRUE(Released(RunCloud(node)).empty()) << "the whole zone is silent: it is cut off";
+}
+
+// Found on the same day: one worker that had come by another controller kept
+// its zone's dead machines from being given up.
+TEST_F(World, OneRelayedReportPutsNoZoneInDoubt) {
+  Node& node = AddNode("n0");
+  for (int i = 0; i < 12; ++i) AddWorker("m-" + std::to_string(10 + i));
+  ASSERT_TRUE(node.TakeOver(now));
+  Settle(node);
+  Run(node, MakeJob("j-1", 24));
+  Settle(node);
+  const MachineId dead{"m-10"};
+  silent_.insert(dead);
+  for (int i = 0; i < 6; ++i) {
+    Pass(1);
+    FailProbes(node, now);
+    workers_.back().Take(node.core.OnReport(workers_.back().Snapshot(), now, true));
+    silent_.insert(workers_.back().id());
+    Settle(node, 1);
+  }
+  EXPECT_TRUE(Released(RunCloud(node)).contains(dead));
+}
+
+// Found on days of too much load: a late job took the room, and made the next
+// one late as well.
+TEST_F(World, WorkThatCanBeInTimeGoesBeforeWorkThatIsLate) {
+  Node& node = AddNode("n0");
+  FakeWorker& w = AddWorker("m-1");
+  ASSERT_TRUE(node.TakeOver(now));
+  Settle(node);
+  JobSpec late = MakeJob("j-1", 2);
+  late.deadline = Seconds{40};  // has passed for certain when there is room
+  JobSpec in_time = MakeJob("j-2", 2);
+  in_time.deadline = Seconds{200};
+  Run(node, MakeJob("j-3", 2));
+  Settle(node);
+  Run(node, late);
+  Run(node, in_time);
+  Pass(60);
+  Report(node, w);
+  w.EndAll(EndCause::kDone);
+  Settle(node, 2);
+  ASSERT_EQ(w.Live(), 2U);
+  EXPECT_EQ(w.starts[T("j-2")], 1);
+  EXPECT_EQ(w.starts[T("j-1")], 0);
+}
+
+TEST_F(World, RoomIsFreeBeforeTheEndIsDurable) {
+  Node& node = AddNode("n0");
+  FakeWorker& w = AddWorker("m-1");
+  ASSERT_TRUE(node.TakeOver(now));
+  Settle(node);
+  Run(node, MakeJob("j-1", 2));
+  Settle(node);
+  Run(node, MakeJob("j-2", 2));
+  w.EndAll(EndCause::kDone);
+  Report(node, w);
+  node.core.Tick(now, wall);
+  EXPECT_EQ(node.core.GetStatus().bound, 4U) << "two that ended, two that follow";
+  Settle(node);
+  EXPECT_EQ(w.Live(), 2U);
+  EXPECT_EQ(node.Mood("j-1"), "done");
+}
+
+TEST_F(World, ScarceChangesGoToBindingsFirst) {
+  Scheduler::Options options = DefaultOptions();
+  options.writes_per_s = 4;
+  options.most_ops = 4;
+  Node& node = nodes_.emplace_back(store, "n0", options);
+  FakeWorker& w = AddWorker("m-1", "large");
+  ASSERT_TRUE(node.TakeOver(now));
+  Settle(node);
+  for (int j = 1; j <= 3; ++j) Run(node, MakeJob("j-" + std::to_string(j), 2));
+  Pass(5);
+  Settle(node);
+  ASSERT_EQ(w.Live(), 6U);
+  Pass(0.1);
+  for (int j = 1; j <= 3; ++j) w.End(T("j-" + std::to_string(j)), EndCause::kDone);
+  Report(node, w);
+  Run(node, MakeJob("j-4", 1));
+  Pass(0.7);
+  node.core.Tick(now, wall);
+  const WritePlan plan = node.core.NextWrite(now);
+  ASSERT_FALSE(plan.puts.empty());
+  EXPECT_EQ(plan.puts.front().block.job, JobId{"j-4"});
+  EXPECT_LE(plan.puts.size(), 4U);
+}
+
+TEST_F(World, AReportOfThousandsOfStrangersIsAnswered) {
+  Node& node = AddNode("n0");
+  FakeWorker& w = AddWorker("m-1");
+  ASSERT_TRUE(node.TakeOver(now));
+  Report(node, w);
+  magpie::Report report = w.Snapshot();
+  for (std::uint32_t i = 0; i < 5000; ++i)
+    report.tasks.push_back({T("j-99", i), {1}, TaskMood::kRunning, EndCause::kNone, false});
+  const Reply reply = node.core.OnReport(report, now);
+  EXPECT_TRUE(reply.entitled);
+  EXPECT_GT(reply.commands.size(), 0U);
+  EXPECT_LE(reply.commands.size(), 200U) << "the rest is stopped next time";
+}
+
+}  // namespace
+}  // namespace magpie::testing
