--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -307,7 +307,7 @@
         if (scheduler_.wants_tick() && !std::exchange(tick_due_, true)) tick_wake_.notify_one();
         return {200, wire::ReplyToJson(reply.token, reply.commands).dump()};
       }
-      spdlog::info("{} has seen a later token", report.machine.v);
+      spdlog::debug("{} has seen a later token", report.machine.v);
     }
   }
   if (relayed) return Plain(421);
--- a/src/core/machine_care.cc
+++ b/src/core/machine_care.cc
@@ -292,70 +292,104 @@
   }
 }
 
-// Empties a machine that is mostly unused but for a few replicas, when these
+// Empties machines that are mostly unused but for a few replicas, when these
 // can go on at once on other machines: such as are kept anyway, or cheaper
-// ones that would be returned.
+// ones that would be returned. Each move takes a replica away for a moment, so
+// only a small part of them moves at a time.
 void Scheduler::Consolidate(const Plan& plan, Instant now) {
   constexpr Seconds kMoveEvery{5};
   constexpr double kMostUsed = 0.5;
-  constexpr double kWorthMoving = 0.7;
+  constexpr double kPartMoved = 0.015;
+  constexpr std::size_t kMostTried = 32;
   if (now < move_next_ || renting_.size() > 0) return;
-  Machine* worst = nullptr;
-  double worst_waste = 0;
-  std::vector<Machine*> targets;
-  for (const auto& [id, m] : machines_) {
-    const MachineType* type = fleet_.Find(m->type);
-    if (!m->up || m->spot || !Usable(*m) || type == nullptr || m->tasks.empty()) continue;
-    const double used = m->used.cpus / std::max(type->room.cpus, 1.0);
-    if (used > kMostUsed) continue;
-    const double waste = type->price * (1 - used);
-    if (waste <= worst_waste) continue;
-    std::map<const Slot*, Resources> taken;
-    bool movable = true;
-    double kept = 0;  // price of machines that would stay for this alone
-    for (const TaskId& task : m->tasks) {
-      const Job& job = *jobs_.at(task.job);
-      const Task& t = job.tasks[task.index];
-      movable = job.spec.kind == JobKind::kService && !job.cancelled && t.running &&
-                now - t.since > options_.settled;
-      if (!movable) break;
-      const Slot* target = nullptr;
-      for (const Slot& slot : plan.slots) {
-        if (slot.machine == nullptr || slot.machine == m.get() || !slot.now) continue;
-        if (slot.machine->releasing) continue;
-        const KindFacts& kind = kinds_[slot.kind];
-        if (kind.type->price > type->price || kind.kind.spot) continue;
-        const bool idle = slot.machine->tasks.empty() && !taken.contains(&slot);
-        if (idle && kept + kind.type->price > kWorthMoving * type->price) continue;
-        if (!KindAllows(job.spec, kind) || !HasImage(*slot.machine, job.image)) continue;
-        Resources need = taken[&slot];
-        need += job.spec.each;
-        if (!need.Fits(slot.lane.room())) continue;
-        target = &slot;
-        if (idle) kept += kind.type->price;
-        taken[&slot] = need;
-        break;
+  std::vector<std::pair<double, Machine*>> candidates;  // by what they waste
+  std::size_t replicas = 0;
+  for (const Slot& slot : plan.slots) {
+    Machine* m = slot.machine;
+    const KindFacts& kind = kinds_[slot.kind];
+    if (m == nullptr || !m->up || kind.kind.spot || !Usable(*m) || m->tasks.empty()) continue;
+    replicas += m->tasks.size() - std::min<std::size_t>(m->arrays, m->tasks.size());
+    const double used = m->used.cpus / std::max(kind.type->room.cpus, 1.0);
+    if (used <= kMostUsed) candidates.emplace_back(-kind.type->price * (1 - used), m);
+  }
+  if (candidates.empty()) return;
+  std::sort(candidates.begin(), candidates.end());
+  if (candidates.size() > kMostTried) candidates.resize(kMostTried);
+  // The fullest first, so that the others become empty.
+  std::vector<const Slot*> homes;
+  for (const Slot& slot : plan.slots)
+    if (slot.machine != nullptr && slot.now && !kinds_[slot.kind].kind.spot &&
+        !slot.machine->releasing)
+      homes.push_back(&slot);
+  std::sort(homes.begin(), homes.end(), [](const Slot* a, const Slot* b) {
+    return std::pair(a->lane.room().cpus, a->machine->id) <
+           std::pair(b->lane.room().cpus, b->machine->id);
+  });
+  std::map<const Slot*, Resources> taken;
+  std::set<const Machine*> used_as_home;
+  const auto most = static_cast<std::size_t>(kPartMoved * static_cast<double>(replicas));
+  std::size_t moved = 0;
+  for (const auto& [waste, m] : candidates) {
+    if (moved > 0 && moved + m->tasks.size() > most) continue;
+    if (used_as_home.contains(m)) continue;
+    std::map<const Slot*, Resources> with = taken;
+    if (!FindHomes(*m, homes, with, now)) continue;
+    moved += m->tasks.size();
+    for (const auto& [slot, need] : with)
+      if (!taken.contains(slot)) {
+        slot->machine->idle_since = now;  // not returned meanwhile
+        used_as_home.insert(slot->machine);
       }
-      movable = target != nullptr;
-      if (!movable) break;
+    taken = std::move(with);
+    m->draining = true;
+    Note("drain " + m->id.v);
+    for (const TaskId& task : m->tasks) {
+      Task& t = *FindTask(task);
+      t.want_stop = true;
+      t.grace = jobs_.at(task.job)->spec.save + Seconds{1};
     }
-    if (!movable) continue;
-    worst = m.get();
-    worst_waste = waste;
-    targets.clear();
-    for (const auto& [slot, need] : taken) targets.push_back(slot->machine);
+    WantPush(*m);
+    if (moved >= most) break;
   }
-  if (worst == nullptr) return;
-  move_next_ = now + kMoveEvery;
-  worst->draining = true;
-  Note("drain " + worst->id.v);
-  for (Machine* target : targets) target->idle_since = now;  // not returned meanwhile
-  for (const TaskId& task : worst->tasks) {
-    Task& t = *FindTask(task);
-    t.want_stop = true;
-    t.grace = jobs_.at(task.job)->spec.save + Seconds{1};
+  if (moved > 0) move_next_ = now + kMoveEvery;
+}
+
+// Whether all tasks of a machine are settled replicas that fit elsewhere, where
+// their images are, for clearly less money than the machine costs. What they
+// take there is added to `taken`.
+bool Scheduler::FindHomes(const Machine& m, const std::vector<const Slot*>& homes,
+                          std::map<const Slot*, Resources>& taken, Instant now) const {
+  constexpr double kWorthMoving = 0.7;
+  const double price = kinds_[*m.kind].type->price;
+  double kept = 0;  // price of machines that would stay for this alone
+  for (const TaskId& task : m.tasks) {
+    const Job& job = *jobs_.at(task.job);
+    const Task& t = job.tasks[task.index];
+    if (job.spec.kind != JobKind::kService || job.cancelled || !t.running ||
+        now - t.since <= options_.settled)
+      return false;
+    const Slot* home = nullptr;
+    for (const Slot* slot : homes) {
+      if (!job.spec.each.Fits(slot->lane.room())) continue;
+      if (slot->machine == &m || slot->machine->draining) continue;
+      const KindFacts& kind = kinds_[slot->kind];
+      if (kind.type->price > price || !KindAllows(job.spec, kind) ||
+          !HasImage(*slot->machine, job.image))
+        continue;
+      const bool idle = slot->machine->tasks.empty() && !taken.contains(slot);
+      if (idle && kept + kind.type->price > kWorthMoving * price) continue;
+      const auto there = taken.find(slot);
+      Resources need = there == taken.end() ? Resources{} : there->second;
+      need += job.spec.each;
+      if (!need.Fits(slot->lane.room())) continue;
+      home = slot;
+      if (idle) kept += kind.type->price;
+      taken[slot] = need;
+      break;
+    }
+    if (home == nullptr) return false;
   }
-  WantPush(*worst);
+  return true;
 }
 
 }  // namespace magpie
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -368,6 +368,8 @@
   void Order(const Plan& plan);
   void ReturnIdle(const Plan& plan, Instant now);
   void Consolidate(const Plan& plan, Instant now);
+  bool FindHomes(const Machine& m, const std::vector<const Slot*>& homes,
+                 std::map<const Slot*, Resources>& taken, Instant now) const;
   bool Guaranteed(const std::string& name, const Resources& use) const;
   bool InGuarantee(const Job& job) const;
   int CountKind(const MachineKind& kind) const;
