--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -32,7 +32,6 @@
 constexpr int kProbeThreads = 24;
 constexpr Seconds kCountsEvery{2};
 constexpr Seconds kCountsKept{8};
-constexpr Seconds kRelayPause{2};
 constexpr Seconds kStepAgain{0.25};  // when the state service refused
 constexpr double kTickShare = 0.25;  // of the time that a tick may take
 constexpr Seconds kLeastTickGap{0.05};
@@ -91,6 +90,7 @@
       watch_store_(settings.state, kStateTimeout),
       cloud_(settings.cloud, kCloudTimeout),
       redirects_(settings.lease),
+      reach_(settings.leader_lease),
       scheduler_(CoreOptions(settings), {settings.refused_pause, settings.most_per_order}) {
   for (const Member& m : settings_.others)
     peers_[m.label] = std::make_unique<HttpClient>(m.mesh, Seconds{0.7}, kMeshTimeout, 2);
@@ -337,38 +337,31 @@
   return Relay(report, body, leader, *peer->second);
 }
 
-// Passes a report on to the leader. While the leader can't be reached from here
-// either, the worker's lease is kept, without any command, so that what runs
-// there goes on: at once when this controller is itself cut off from the state
-// service, and after a while when the leader lives, cut off from both of us.
-// Nothing is bound anew by anyone before the machine is certainly fenced, so a
-// kept lease is never unsafe.
+// Passes a report on to the leader, or keeps the worker's lease without it.
 HttpResponse Controller::Relay(const Report& report, const std::string& body,
                                const std::string& leader, HttpClient& peer) {
   bool try_it = false;
   {
     std::lock_guard lock(mutex_);
-    try_it = SteadyNow() >= relay_after_;
+    try_it = reach_.MayTry(SteadyNow());
   }
   HttpAnswer answer;
   if (try_it) {
     answer = peer.Post(kMeshReport, body);
     spdlog::debug("relayed {} to {}: {}", report.machine.v, leader, answer.status);
   }
-  if (!answer.answered) {
-    std::lock_guard lock(mutex_);
-    const Instant now = SteadyNow();
-    if (try_it) relay_after_ = now + kRelayPause;
-    if (!relay_failing_) relay_failing_ = now;
-    const bool cut_off = state_failed_ > state_reached_;
-    if (EpochOf(report.token) <= epoch_ &&
-        (cut_off || now - *relay_failing_ > 1.5 * settings_.leader_lease))
-      return {200, wire::ReplyToJson(report.token, {}).dump()};
-    return Plain(421);
-  }
   {
     std::lock_guard lock(mutex_);
-    relay_failing_.reset();
+    const Instant now = SteadyNow();
+    if (answer.answered) {
+      reach_.Answered();
+    } else {
+      if (try_it) reach_.Failed(now);
+      const bool cut_off = state_failed_ > state_reached_;
+      if (reach_.KeepsLease(report.token, epoch_, cut_off, now))
+        return {200, wire::ReplyToJson(report.token, {}).dump()};
+      return Plain(421);
+    }
   }
   if (answer.status == 200) return {200, answer.body};
   // The leader has heard that the worker can reach it again.
@@ -386,8 +379,7 @@
   }
   state_reached_ = SteadyNow();
   if (leader_label_ != view.leader) {
-    relay_failing_.reset();
-    relay_after_ = {};
+    reach_.Forget();
     redirects_.Forget();
   }
   leader_label_ = view.leader;
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -95,15 +95,13 @@
   std::condition_variable probe_wake_;
   std::condition_variable cloud_wake_;
   Redirects redirects_;
+  LeaderReach reach_;
   Scheduler scheduler_;
   std::optional<Leadership> leadership_;
   std::string leader_label_;
   Stamp epoch_;            // the latest known
   Instant state_reached_;  // when the state service last answered
   Instant state_failed_;   // when it last did not
-  // Since when and until when the leader counts as out of reach from here.
-  std::optional<Instant> relay_failing_;
-  Instant relay_after_;
   bool tick_due_ = false;
 };
 
--- a/src/app/redirects.h
+++ b/src/app/redirects.h
@@ -1,7 +1,8 @@
-// Which workers were sent on to the leader a moment ago.
+// What a controller that does not lead does with workers' reports.
 #pragma once
 
 #include <map>
+#include <optional>
 
 #include "core/types.h"
 
@@ -34,4 +35,38 @@
   std::map<MachineId, Instant> sent_;
 };
 
+// Whether the leader can be reached from here, as relayed reports show it, and
+// when a worker's lease is kept without it: its report is answered with the
+// token that the worker has, and with no command. Nothing is bound anew by
+// anyone before the machine is certainly fenced, so a kept lease is never
+// unsafe; without it, all work in a zone that is cut off would be killed.
+class LeaderReach {
+ public:
+  explicit LeaderReach(Seconds leader_lease) : patience_(1.5 * leader_lease) {}
+
+  bool MayTry(Instant now) const { return now >= after_; }
+  void Failed(Instant now) {
+    constexpr Seconds kPause{2};
+    after_ = now + kPause;
+    if (!failing_) failing_ = now;
+  }
+  void Answered() { failing_.reset(); }
+  // Another controller leads.
+  void Forget() {
+    failing_.reset();
+    after_ = {};
+  }
+  // At once when we are cut off from the state service too; after a while when
+  // the leader is known to live, cut off from both of us. Not for a worker that
+  // has seen a later leader than we have.
+  bool KeepsLease(Token workers, Stamp epoch, bool cut_off, Instant now) const {
+    return EpochOf(workers) <= epoch && failing_ && (cut_off || now - *failing_ > patience_);
+  }
+
+ private:
+  Seconds patience_;
+  std::optional<Instant> failing_;  // since when
+  Instant after_;
+};
+
 }  // namespace magpie
--- a/tests/growth_test.cc
+++ b/tests/growth_test.cc
@@ -74,6 +74,39 @@
   EXPECT_FALSE(redirects.CameBack(m, Instant{306}));
 }
 
+// On days of a zone that is cut off from everything, its workers' leases ran
+// out although a controller was in the zone.
+TEST(LeaderReach, ACutOffControllerKeepsItsWorkersLeases) {
+  LeaderReach reach(Seconds{4});
+  const Stamp epoch{7};
+  EXPECT_FALSE(reach.KeepsLease(FirstToken(epoch), epoch, true, Instant{100})) << "not tried yet";
+  reach.Failed(Instant{100});
+  EXPECT_FALSE(reach.MayTry(Instant{101}));
+  EXPECT_TRUE(reach.KeepsLease(FirstToken(epoch), epoch, true, Instant{100}));
+  EXPECT_FALSE(reach.KeepsLease(FirstToken(epoch), epoch, false, Instant{105}))
+      << "another may lead in a moment";
+  EXPECT_TRUE(reach.KeepsLease(FirstToken(epoch), epoch, false, Instant{107}));
+  EXPECT_FALSE(reach.KeepsLease(FirstToken({8}), epoch, true, Instant{107}))
+      << "the worker knows a later leader";
+  EXPECT_TRUE(reach.MayTry(Instant{103}));
+  reach.Answered();
+  EXPECT_FALSE(reach.KeepsLease(FirstToken(epoch), epoch, true, Instant{107}));
+}
+
+// Found at the start of a day: a flood of submissions made the state service
+// refuse renewals, and the leader resigned though its lease lived on.
+TEST_F(World, ARefusedRenewalDoesNotEndTheLeadership) {
+  Node& node = AddNode("n0");
+  ASSERT_TRUE(node.TakeOver(now));
+  const auto before = node.membership.view().leadership;
+  store.outage = true;
+  EXPECT_FALSE(node.membership.Step().reached);
+  EXPECT_EQ(node.membership.view().leadership, before);
+  store.outage = false;
+  EXPECT_TRUE(node.membership.Step().reached);
+  EXPECT_EQ(node.membership.view().leadership, before);
+}
+
 // Found on a day when many machines failed all they got: each drew several
 // tasks before it was left alone.
 TEST_F(World, OneFailureOfAHealthyJobIsEnough) {
