--- a/src/core/dialogue.cc
+++ b/src/core/dialogue.cc
@@ -80,7 +80,7 @@
     wants_tick_ = true;
     m.idle_since = now;
   }
-  if (report.notice.has_value() != m.notice_until.has_value()) wants_tick_ = true;
+  if (report.notice.has_value() != m.notice_until.has_value()) LookSoon();
   if (report.notice)
     m.notice_until = now + *report.notice;
   else
@@ -93,27 +93,24 @@
   }
   const bool conclusive = new_session || Conclusive(m, from_push);
 
-  for (const TaskId& id : m.tasks)
-    if (Task* t = FindTask(id)) t->seen = false;
+  for (const Held& held : m.tasks) held.task().seen = false;
   m.last = report.tasks;
   for (const TaskReport& entry : report.tasks) AbsorbTask(m, entry, now);
 
   if (!conclusive) return;
-  std::vector<TaskId> lost;
-  for (const TaskId& id : m.tasks) {
-    Job* job = FindJob(id.job);
-    if (job == nullptr) continue;
-    const Task& t = job->tasks[id.index];
+  std::vector<Held> lost;
+  for (const Held& held : m.tasks) {
+    const Task& t = held.task();
     if (t.seen || t.state != TaskState::kBound) continue;
     // Absent for sure. A cancelled task or one told to stop is over; one of an
     // earlier session was killed; any other has not begun and is sent again.
-    if (job->cancelled || t.want_stop || new_session || m.notice_until) lost.push_back(id);
+    if (held.job->cancelled || t.want_stop || new_session || m.notice_until) lost.push_back(held);
   }
-  for (const TaskId& id : lost) Unbind(*FindJob(id.job), id.index, now);
+  for (const Held& held : lost) Unbind(*held.job, held.index, now);
 }
 
 void Scheduler::AbsorbTask(Machine& m, const TaskReport& entry, Instant now) {
-  Job* job = FindJob(entry.task.job);
+  Job* job = JobOf(m, entry.task.job);
   if (job == nullptr || entry.task.index >= job->tasks.size()) return;
   Task& t = job->tasks[entry.task.index];
   const bool ours = t.machine == &m && t.attempt == entry.attempt &&
@@ -142,7 +139,7 @@
     job->errors = 0;
     // What began under an earlier leader has run for longer than we know.
     if (t.running && t.timed && !job->cancelled) {
-      const Seconds expected = table_.Expect(job->spec, m.type);
+      const Seconds expected = ExpectOn(*job, m);
       if (expected.v > 0 && !t.overran) NotePace(m, (now - t.since).v / expected.v);
       // A slow machine says nothing of its type.
       if (!m.cordoned) table_.Learn(job->spec, m.type, now - t.since);
@@ -176,6 +173,7 @@
   if (healthy || job.errors < kFaultyJobErrors) {
     ++m.errors_in_row;
     if (healthy || m.errors_in_row >= kErrorsToCordon) m.cordoned = true;
+    LookSoon();
   }
   if (healthy) return;
   const double pause = std::min(kErrorPauseMost, job.errors < 3 ? 0.0 : std::exp2(job.errors - 3));
@@ -188,8 +186,10 @@
   auto full = [&] { return commands.size() >= kCommandsPerMessage; };
   for (const TaskReport& entry : m.last) {
     if (full()) break;
-    const Job* job = FindJob(entry.task.job);
-    const Task* t = FindTask(entry.task);
+    const Job* job = JobOf(m, entry.task.job);
+    const Task* t = job == nullptr || entry.task.index >= job->tasks.size()
+                        ? nullptr
+                        : &job->tasks[entry.task.index];
     const bool ours = t != nullptr && t->machine == &m && t->attempt == entry.attempt &&
                       t->state != TaskState::kPending && t->state != TaskState::kDone;
     if (entry.mood == TaskMood::kEnded) {
@@ -206,13 +206,12 @@
     }
   }
   if (m.notice_until) return commands;
-  for (const TaskId& id : m.tasks) {
+  for (const Held& held : m.tasks) {
     if (full()) break;
-    Job* job = FindJob(id.job);
-    if (job == nullptr || job->cancelled) continue;
-    const Task& t = job->tasks[id.index];
+    if (held.job->cancelled) continue;
+    const Task& t = held.task();
     if (t.state == TaskState::kBound && !t.seen && !t.want_stop)
-      commands.push_back({CommandKind::kRun, id, t.attempt, {}});
+      commands.push_back({CommandKind::kRun, held.id(), t.attempt, {}});
   }
   (void)now;
   return commands;
@@ -299,7 +298,7 @@
     ++m.failed_probes;
     m.suspected = !m.relayed && now - m.heard > std::min(options_.report, Seconds{4});
     m.probe_after = now + Seconds{kProbeAgain};
-    wants_tick_ = true;
+    LookSoon();
     return;  // should it be late, it does no harm
   }
   if (end == PushEnd::kUnknown) {
--- a/src/core/machine_care.cc
+++ b/src/core/machine_care.cc
@@ -20,11 +20,8 @@
   }
   if (it == machines_.end()) return;
   Machine& m = *it->second;
-  const std::set<TaskId> tasks = m.tasks;
-  for (const TaskId& task : tasks) {
-    Job* job = FindJob(task.job);
-    if (job != nullptr) Unbind(*job, task.index, now);
-  }
+  const std::vector<Held> tasks = m.tasks;
+  for (const Held& held : tasks) Unbind(*held.job, held.index, now);
   machines_.erase(it);
 }
 
@@ -153,9 +150,10 @@
     return;
   m.cordoned = true;
   if (options_.notes) Note("slow " + m.id.v);
-  for (const TaskId& id : m.tasks) {
-    const JobSpec& spec = jobs_.at(id.job)->spec;
-    Task& t = *FindTask(id);
+  LookSoon();
+  for (const Held& held : m.tasks) {
+    const JobSpec& spec = held.job->spec;
+    Task& t = held.task();
     if (spec.kind != JobKind::kArray || spec.checkpoint.v <= 0 || t.want_stop) continue;
     t.want_stop = true;
     t.grace = spec.save + Seconds{1};
@@ -167,11 +165,10 @@
 void Scheduler::NoteOverruns(Machine& m, Instant now) {
   constexpr double kOverrun = 2.5;
   if (m.cordoned || !m.up) return;
-  for (const TaskId& id : m.tasks) {
-    const JobSpec& spec = jobs_.at(id.job)->spec;
-    Task& t = *FindTask(id);
-    if (!t.running || !t.timed || t.overran || spec.kind != JobKind::kArray) continue;
-    const Seconds expected = table_.Expect(spec, m.type);
+  for (const Held& held : m.tasks) {
+    Task& t = held.task();
+    if (!t.running || !t.timed || t.overran || held.job->spec.kind != JobKind::kArray) continue;
+    const Seconds expected = ExpectOn(*held.job, m);
     if (expected.v <= 0 || now - t.since < kOverrun * expected) continue;
     t.overran = true;
     NotePace(m, kOverrun);
@@ -246,11 +243,8 @@
       release = quiet > patience && m->up;
       if (!m->up) release = now - loaded_at_ > std::max(patience, 2.0 * options_.list_lag);
       bool cancelled = false;
-      for (const TaskId& t : m->tasks) {
-        const Job* job = FindJob(t.job);
-        cancelled |=
-            job != nullptr && job->cancelled && now - job->cancelled_at > 0.4 * options_.cancel;
-      }
+      for (const Held& held : m->tasks)
+        cancelled |= held.job->cancelled && now - held.job->cancelled_at > 0.4 * options_.cancel;
       if (cancelled && quiet > 2.0 * options_.report) release = true;
       if (release && quiet > kLeastSilence && !cut_off) alarm_until_ = now + kAlarm;
     } else {
@@ -276,10 +270,9 @@
 // it can be, early enough to be begun elsewhere.
 void Scheduler::HandleNotice(Machine& m, Instant now) {
   const Seconds left = *m.notice_until - now;
-  for (const TaskId& id : m.tasks) {
-    Job* job = FindJob(id.job);
-    if (job == nullptr) continue;
-    Task& t = job->tasks[id.index];
+  for (const Held& held : m.tasks) {
+    const Job* job = held.job;
+    Task& t = held.task();
     if (t.want_stop || t.state != TaskState::kBound) continue;
     const bool ends_in_time =
         job->spec.kind == JobKind::kArray && t.running && EndOf(*job, t, m, now) - now < left;
@@ -343,10 +336,10 @@
     taken = std::move(with);
     m->draining = true;
     Note("drain " + m->id.v);
-    for (const TaskId& task : m->tasks) {
-      Task& t = *FindTask(task);
+    for (const Held& held : m->tasks) {
+      Task& t = held.task();
       t.want_stop = true;
-      t.grace = jobs_.at(task.job)->spec.save + Seconds{1};
+      t.grace = held.job->spec.save + Seconds{1};
     }
     WantPush(*m);
     if (moved >= most) break;
@@ -362,9 +355,9 @@
   constexpr double kWorthMoving = 0.7;
   const double price = kinds_[*m.kind].type->price;
   double kept = 0;  // price of machines that would stay for this alone
-  for (const TaskId& task : m.tasks) {
-    const Job& job = *jobs_.at(task.job);
-    const Task& t = job.tasks[task.index];
+  for (const Held& held : m.tasks) {
+    const Job& job = *held.job;
+    const Task& t = held.task();
     if (job.spec.kind != JobKind::kService || job.cancelled || !t.running ||
         now - t.since <= options_.settled)
       return false;
--- a/src/core/planning.cc
+++ b/src/core/planning.cc
@@ -116,14 +116,32 @@
   return jobs;
 }
 
+// The job's expected run time on a kind of machine. The table is asked once for
+// each version of it: plans ask for every task on every machine.
+Seconds Scheduler::RunOn(const Job& job, std::size_t kind) const {
+  constexpr double kUnknown = -1;
+  if (job.runs_version != table_.version()) {
+    job.runs.assign(kinds_.size(), kUnknown);
+    job.runs_version = table_.version();
+  }
+  if (job.runs.size() <= kind) job.runs.resize(kinds_.size(), kUnknown);
+  double& run = job.runs[kind];
+  if (run < 0) run = table_.Expect(job.spec, kinds_[kind].kind.type).v;
+  return {run};
+}
+
+Seconds Scheduler::ExpectOn(const Job& job, const Machine& m) const {
+  return m.kind ? RunOn(job, *m.kind) : table_.Expect(job.spec, m.type);
+}
+
 // When a task is expected to end. One that overruns is expected to go on for a
 // part of what it has taken already.
 Instant Scheduler::EndOf(const Job& job, const Task& t, const Machine& m, Instant now) const {
   constexpr double kOverrun = 0.25;
   constexpr Seconds kSoon{1};
-  Seconds run = table_.Expect(job.spec, m.type);
+  Seconds run = ExpectOn(job, m);
   if (!t.running) {
-    const MachineType* type = fleet_.Find(m.type);
+    const MachineType* type = m.kind ? kinds_[*m.kind].type : fleet_.Find(m.type);
     if (type != nullptr && type->fetch_gb_per_s > 0 && !HasImage(m, job.image))
       run = run + Seconds{job.spec.image_gb / type->fetch_gb_per_s};
   }
@@ -156,18 +174,50 @@
   return it->second;
 }
 
-Scheduler::Plan Scheduler::StartPlan(Instant now) {
+bool Scheduler::Open(const Plan& plan, const Slot& slot) {
+  return slot.now && plan.least.Fits(slot.lane.room());
+}
+
+std::size_t Scheduler::AddSlot(Plan& plan, Slot slot) {
+  if (plan.by_kind.size() <= slot.kind) plan.by_kind.resize(slot.kind + 1);
+  plan.by_kind[slot.kind].push_back(plan.slots.size());
+  plan.open += Open(plan, slot) ? 1 : 0;
+  plan.slots.push_back(std::move(slot));
+  return plan.slots.size() - 1;
+}
+
+void Scheduler::HoldIn(Plan& plan, std::size_t slot, Instant start, const Resources& need,
+                       std::optional<Instant> end) {
+  Slot& s = plan.slots[slot];
+  const bool before = Open(plan, s);
+  s.needed = true;
+  s.lane.Hold(start, need, end);
+  if (before && !Open(plan, s)) --plan.open;
+}
+
+Scheduler::Plan Scheduler::StartPlan(Instant now, const std::vector<Job*>& waiting) {
   constexpr double kBootLate = 2.5;  // then another machine is rented instead
+  constexpr Seconds kFullEvery{1};
   Plan plan;
   plan.use = team_use_;
   plan.may_rent = renting_.empty() && list_seen_ && now >= fleet_next_;
+  plan.full = plan.may_rent || now >= full_next_;
+  if (plan.full) full_next_ = now + kFullEvery;
+  if (!waiting.empty()) plan.least = waiting.front()->spec.each;
+  for (const Job* job : waiting) {
+    const Resources& each = job->spec.each;
+    plan.least = {std::min(plan.least.cpus, each.cpus), std::min(plan.least.gpus, each.gpus),
+                  std::min(plan.least.memory_gb, each.memory_gb)};
+  }
+  std::vector<int> have;
   plan.slots.reserve(machines_.size());
   for (const auto& [id, m] : machines_) {
     if (m->type.empty()) continue;
     if (!m->kind) m->kind = KindNumber({m->type, m->zone, m->spot});
     const KindFacts& kind = kinds_[*m->kind];
     if (kind.type == nullptr) continue;
-    ++plan.have[kind.kind];
+    if (have.size() < kinds_.size()) have.resize(kinds_.size());
+    ++have[*m->kind];
     if (!Usable(*m)) continue;
     const bool silent = now - m->heard > 2.5 * options_.report;
     Instant from = now;
@@ -179,63 +229,68 @@
     }
     Slot slot{m.get(), *m->kind, Lane(Room(*m, *kind.type), from), m->up && !m->addr.empty(),
               !m->tasks.empty()};
-    for (const TaskId& task : m->tasks) {
-      const Job& job = *jobs_.at(task.job);
-      const Task& t = job.tasks[task.index];
+    for (const Held& held : m->tasks) {
+      const Job& job = *held.job;
+      const Task& t = held.task();
       if (t.state == TaskState::kEnding) continue;  // its room is free already
-      if (job.spec.kind == JobKind::kArray)
+      if (job.spec.kind == JobKind::kArray) {
         slot.lane.AddEnd(EndOf(job, t, *m, now), job.spec.each);
-      else if (job.cancelled)
+        plan.lowest = std::min(plan.lowest, job.spec.priority);
+      } else if (job.cancelled) {
         slot.lane.AddEnd(now + Seconds{1}, job.spec.each);
+      }
     }
-    plan.slots.push_back(std::move(slot));
+    AddSlot(plan, std::move(slot));
   }
+  for (std::size_t k = 0; k < have.size(); ++k)
+    if (have[k] > 0) plan.have[kinds_[k].kind] = have[k];
   return plan;
 }
 
 // Stops work of lower priority for tasks that would be late otherwise: on the
 // machines where the least run time is lost. True when some was stopped.
-bool Scheduler::MakeRoom(Plan& plan, Job& job, Instant now) {
+bool Scheduler::MakeRoom(const Plan& plan, Job& job, Instant now) {
   constexpr Seconds kVictimsLeave{3};
   constexpr double kMostLost = 1;  // in run times of the task that comes
   constexpr std::size_t kMostAtOnce = 16;
-  if (now < job.preempt_after) return false;
+  if (job.spec.priority <= plan.lowest || now < job.preempt_after) return false;
   job.preempt_after = now + kVictimsLeave;
   struct Sacrifice {
     double lost = 0;
     Machine* machine = nullptr;
-    std::vector<TaskId> victims;
+    std::vector<Held> victims;
   };
   std::vector<Sacrifice> offers;
-  for (Slot& slot : plan.slots) {
+  for (const Slot& slot : plan.slots) {
     if (!slot.now || slot.machine == nullptr || slot.machine->relayed) continue;
     if (slot.machine->arrays == 0) continue;
     const KindFacts& kind = kinds_[slot.kind];
     if (!KindAllows(job.spec, kind) || !ZoneOk(job, kind.kind.zone)) continue;
     if (job.spec.kind == JobKind::kService && !HasImage(*slot.machine, job.image)) continue;
-    std::vector<std::pair<double, TaskId>> candidates;
-    for (const TaskId& id : slot.machine->tasks) {
-      const Job& other = *jobs_.at(id.job);
-      const Task& t = other.tasks[id.index];
+    std::vector<std::pair<double, Held>> candidates;
+    for (const Held& held : slot.machine->tasks) {
+      const Job& other = *held.job;
+      const Task& t = held.task();
       if (other.spec.kind != JobKind::kArray || other.spec.priority >= job.spec.priority ||
           RankOf(other) <= RankOf(job) || t.state != TaskState::kBound || t.want_stop)
         continue;
       const bool saves = other.spec.checkpoint.v > 0;
       const double lost = !t.running ? 0 : saves ? other.spec.save.v : (now - t.since).v;
-      candidates.emplace_back(lost * other.spec.each.cpus, id);
+      candidates.emplace_back(lost * other.spec.each.cpus, held);
     }
     if (candidates.empty()) continue;
-    std::sort(candidates.begin(), candidates.end());
+    std::stable_sort(candidates.begin(), candidates.end(),
+                     [](const auto& a, const auto& b) { return a.first < b.first; });
     Resources room = Room(*slot.machine, *kind.type);
     Sacrifice offer{0, slot.machine, {}};
-    for (const auto& [loss, id] : candidates) {
+    for (const auto& [loss, held] : candidates) {
       if (job.spec.each.Fits(room)) break;
-      room += jobs_.at(id.job)->spec.each;
+      room += held.job->spec.each;
       offer.lost += loss;
-      offer.victims.push_back(id);
+      offer.victims.push_back(held);
     }
     if (offer.victims.empty() || !job.spec.each.Fits(room)) continue;
-    const double worth = table_.Expect(job.spec, kind.kind.type).v * job.spec.each.cpus;
+    const double worth = RunOn(job, slot.kind).v * job.spec.each.cpus;
     if (job.spec.kind == JobKind::kArray && offer.lost > kMostLost * worth) continue;
     offers.push_back(std::move(offer));
   }
@@ -250,20 +305,20 @@
     // and the room would go back and forth.
     std::map<std::string, Resources> after = left;
     bool spared = false;
-    for (const TaskId& id : offer.victims) {
-      const JobSpec& other = jobs_.at(id.job)->spec;
+    for (const Held& held : offer.victims) {
+      const JobSpec& other = held.job->spec;
       spared |= Guaranteed(other.team, after[other.team]);
       after[other.team] -= other.each;
     }
     if (spared) continue;
     left = std::move(after);
     ++made;
-    for (const TaskId& id : offer.victims) {
-      Job& other = *FindJob(id.job);
-      Task& t = other.tasks[id.index];
+    for (const Held& held : offer.victims) {
+      const Job& other = *held.job;
+      Task& t = held.task();
       t.want_stop = true;
       t.grace = other.spec.checkpoint.v > 0 ? other.spec.save + Seconds{1} : Seconds{0};
-      if (options_.notes) Note("stop " + id.job.v + " for " + job.spec.id.v);
+      if (options_.notes) Note("stop " + other.spec.id.v + " for " + job.spec.id.v);
     }
     WantPush(*offer.machine);
   }
@@ -277,7 +332,7 @@
 class Scheduler::Places {
  public:
   struct Place {
-    std::size_t slot = 0;
+    std::uint32_t slot = 0;
     std::uint32_t version = 0;
     Choice choice;
     Instant start;
@@ -285,13 +340,17 @@
 
   Places(Scheduler& s, const Plan& plan, const Job& job, Seconds target, Instant now)
       : s_(s), job_(job), target_(target), now_(now) {
-    facts_.resize(s.kinds_.size());
     versions_.resize(plan.slots.size());
-    best_.reserve(plan.slots.size());
-    soonest_.reserve(plan.slots.size());
-    for (std::size_t i = 0; i < plan.slots.size(); ++i) Add(plan, i, false);
+    for (std::size_t kind = 0; kind < plan.by_kind.size(); ++kind) {
+      // Kinds that the job may not use, or whose zone is full for it, are passed
+      // over whole.
+      const KindFacts& facts = s.kinds_[kind];
+      if (plan.by_kind[kind].empty() || !s.KindAllows(job.spec, facts) ||
+          !s.ZoneOk(job, facts.kind.zone))
+        continue;
+      for (const std::size_t i : plan.by_kind[kind]) Add(plan, i, false);
+    }
     std::make_heap(best_.begin(), best_.end(), LaterKey);
-    std::make_heap(soonest_.begin(), soonest_.end(), LaterEnd);
   }
 
   // The slot's lane has changed, or the slot is new.
@@ -303,16 +362,12 @@
 
   std::optional<Place> Pick(const Plan& plan) {
     if (auto place = Top(plan, best_, LaterKey)) return place;
+    if (!std::exchange(soonest_heaped_, true))
+      std::make_heap(soonest_.begin(), soonest_.end(), LaterEnd);
     return Top(plan, soonest_, LaterEnd);
   }
 
  private:
-  struct OfKind {
-    bool known = false;
-    bool allowed = false;
-    double run = 0;
-    double fetch = 0;
-  };
   static std::tuple<bool, double, double, double> Key(const Place& p) {
     return {p.choice.dear, p.choice.size, p.choice.wait.v, p.choice.spare};
   }
@@ -325,23 +380,11 @@
   void Add(const Plan& plan, std::size_t i, bool heap) {
     const Slot& slot = plan.slots[i];
     ++s_.places_looked_at_;
-    if (slot.kind >= facts_.size()) facts_.resize(slot.kind + 1);
-    OfKind& of_kind = facts_[slot.kind];
     const KindFacts& kind = s_.kinds_[slot.kind];
-    if (!of_kind.known) {
-      of_kind.known = true;
-      of_kind.allowed = s_.KindAllows(job_.spec, kind);
-      if (of_kind.allowed) {
-        of_kind.run = s_.table_.Expect(job_.spec, kind.kind.type).v;
-        if (kind.type->fetch_gb_per_s > 0)
-          of_kind.fetch = job_.spec.image_gb / kind.type->fetch_gb_per_s;
-      }
-    }
-    if (!of_kind.allowed) return;
     const auto start = slot.lane.Earliest(job_.spec.each);
     if (!start) return;
     Place p;
-    p.slot = i;
+    p.slot = static_cast<std::uint32_t>(i);
     p.version = versions_[i];
     p.start = *start;
     p.choice.dear = job_.spec.spot && !kind.kind.spot;
@@ -349,15 +392,16 @@
     p.choice.spare = slot.lane.room().cpus;
     p.choice.now = slot.now && *start <= now_;
     p.choice.wait = *start - now_;
-    if (slot.machine == nullptr || !s_.HasImage(*slot.machine, job_.image))
-      p.choice.wait = p.choice.wait + Seconds{of_kind.fetch};
-    p.choice.run = {of_kind.run};
+    if (kind.type->fetch_gb_per_s > 0 &&
+        (slot.machine == nullptr || !s_.HasImage(*slot.machine, job_.image)))
+      p.choice.wait = p.choice.wait + Seconds{job_.spec.image_gb / kind.type->fetch_gb_per_s};
+    p.choice.run = s_.RunOn(job_, slot.kind);
     if (p.choice.now && Slack(target_, p.choice, s_.options_.weights).v >= 0) {
       best_.push_back(p);
       if (heap) std::push_heap(best_.begin(), best_.end(), LaterKey);
     }
     soonest_.push_back(p);
-    if (heap) std::push_heap(soonest_.begin(), soonest_.end(), LaterEnd);
+    if (heap && soonest_heaped_) std::push_heap(soonest_.begin(), soonest_.end(), LaterEnd);
   }
 
   template <typename Later>
@@ -378,7 +422,7 @@
   const Job& job_;
   Seconds target_;
   Instant now_;
-  std::vector<OfKind> facts_;
+  bool soonest_heaped_ = false;  // only once the other heap has no answer
   std::vector<std::uint32_t> versions_;
   std::vector<Place> best_;
   std::vector<Place> soonest_;
@@ -388,6 +432,7 @@
 // machines that finish them soonest, or plans machines for them. At most
 // `budget` tasks are looked at.
 void Scheduler::PlanJob(Plan& plan, Job& job, Instant now, WallTime wall, int& budget) {
+  ++jobs_planned_;
   const Seconds target = DueOf(job, wall).target;
   const bool service = job.spec.kind == JobKind::kService;
   std::uint32_t* alike = plan.may_rent ? &plan.alike[job.shape] : nullptr;
@@ -415,11 +460,9 @@
       return;  // rather at once where the image is, than here after a fetch
     }
     if (!pick) return;
-    Slot& slot = plan.slots[pick->slot];
-    slot.needed = true;
-    slot.lane.Hold(
-        pick->start, job.spec.each,
-        service ? std::nullopt : std::optional(now + pick->choice.wait + pick->choice.run));
+    const Slot& slot = plan.slots[pick->slot];
+    HoldIn(plan, pick->slot, pick->start, job.spec.each,
+           service ? std::nullopt : std::optional(now + pick->choice.wait + pick->choice.run));
     plan.use[job.spec.team] += job.spec.each;
     if (at_once) {
       const std::uint32_t index = job.pending.front();
@@ -454,8 +497,7 @@
   slot.lane.Hold(
       now + offer->type->boot, job.spec.each,
       job.spec.kind == JobKind::kService ? std::nullopt : std::optional(now + offer->ready + run));
-  plan.slots.push_back(std::move(slot));
-  return plan.slots.size() - 1;
+  return AddSlot(plan, std::move(slot));
 }
 
 // Keeps room for the next services and rents it if there is none: one replica
@@ -486,18 +528,20 @@
     if (now - recent.at < Seconds{kArrivalMemory})
       need.largest = std::max(need.largest, recent.spec.tasks);
     for (std::uint32_t i = 0; i < options_.headroom; ++i) {
-      Slot* best = nullptr;
+      std::optional<std::size_t> best;
       auto key = [&](const Slot& s) {
         const bool cached = s.machine != nullptr && HasImage(*s.machine, recent.image);
         return std::tuple(!s.now, !cached, !s.needed, kinds_[s.kind].type->price);
       };
-      for (Slot& slot : plan.slots)
-        if (recent.spec.each.Fits(slot.lane.room()) && KindAllows(recent.spec, kinds_[slot.kind]) &&
-            (best == nullptr || key(slot) < key(*best)))
-          best = &slot;
-      if (best != nullptr) {
-        best->lane.Hold(now, recent.spec.each, std::nullopt);
-        best->needed = true;
+      for (std::size_t k = 0; k < plan.by_kind.size(); ++k) {
+        if (plan.by_kind[k].empty() || !KindAllows(recent.spec, kinds_[k])) continue;
+        for (const std::size_t slot : plan.by_kind[k])
+          if (recent.spec.each.Fits(plan.slots[slot].lane.room()) &&
+              (!best || key(plan.slots[slot]) < key(plan.slots[*best])))
+            best = slot;
+      }
+      if (best) {
+        HoldIn(plan, *best, now, recent.spec.each, std::nullopt);
       } else if (plan.may_rent) {
         RentSpare(plan, recent.spec, 1, now);
       }
@@ -532,11 +576,10 @@
     const std::uint32_t most_in_zone = spec.apart ? (want + 1) / 2 : want;
     std::map<std::string, std::uint32_t> in_zone;
     for (const auto& key : order) {
-      Slot& slot = plan.slots[std::get<4>(key)];
+      const Slot& slot = plan.slots[std::get<4>(key)];
       std::uint32_t& here = in_zone[kinds_[slot.kind].kind.zone];
       while (want > 0 && here < most_in_zone && spec.each.Fits(slot.lane.room())) {
-        slot.lane.Hold(now, spec.each, std::nullopt);
-        slot.needed = true;
+        HoldIn(plan, std::get<4>(key), now, spec.each, std::nullopt);
         ++here;
         --want;
       }
@@ -610,16 +653,23 @@
 void Scheduler::Tick(Instant now, WallTime wall) {
   constexpr int kMostPlanned = 4000;  // waiting tasks looked at in one go
   constexpr double kFleetEvery = 1;
+  constexpr Seconds kLookEvery{0.25};
   if (!loaded_) return;
   wants_tick_ = false;
-  for (auto& [id, job] : jobs_) {
+  for (const JobId& id : std::exchange(changed_, {})) {
+    Job* job = FindJob(id);
+    if (job == nullptr) continue;
     if (job->arrived.v == 0) NoteArrival(*job, job->spec.tasks, now);
     if (job->cancelled && job->cancelled_at.v == 0) job->cancelled_at = now;
   }
-  LookAfterMachines(now);
+  if (now >= look_next_) {
+    look_next_ = now + kLookEvery;
+    LookAfterMachines(now);
+  }
   if (fleet_.types().empty()) return;
-  Plan plan = StartPlan(now);
   const std::vector<Job*> ordered = Ordered(wall);
+  if (ordered.empty() && now < full_next_) return;
+  Plan plan = StartPlan(now, ordered);
   if (plan.may_rent)
     for (const Job* job : ordered)
       plan.alike[job->shape] += static_cast<std::uint32_t>(job->pending.size());
@@ -631,8 +681,11 @@
       spared = true;
     }
     if (now < job->not_before || job->reload) continue;
+    // Between two full plans, what can neither begin now nor make room waits.
+    if (!plan.full && plan.open == 0 && job->spec.priority <= plan.lowest) continue;
     PlanJob(plan, *job, now, wall, budget);
   }
+  if (!plan.full) return;
   if (!spared) PlanSpare(plan, now);
   KeepCheap(plan, now);
   if (plan.may_rent) {
--- a/src/core/run_time_table.cc
+++ b/src/core/run_time_table.cc
@@ -23,6 +23,7 @@
   std::vector<double> sorted(ratios.latest.begin(), ratios.latest.end());
   const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 2);
   std::nth_element(sorted.begin(), middle, sorted.end());
+  if (ratios.median != *middle || ratios.latest.size() == kEnough) ++version_;
   ratios.median = *middle;
 }
 
--- a/src/core/run_time_table.h
+++ b/src/core/run_time_table.h
@@ -20,6 +20,8 @@
   Seconds Expect(const JobSpec& spec, const std::string& type) const;
   // A task completed after running for `took`.
   void Learn(const JobSpec& spec, const std::string& type, Seconds took);
+  // Grows when what is expected has changed.
+  std::uint64_t version() const { return version_; }
 
  private:
   using Cell = std::pair<std::string, int>;  // machine type, size of the task
@@ -28,10 +30,11 @@
     std::deque<double> latest;
     double median = 1;  // looked up far more often than learned
   };
-  static void Push(Ratios& ratios, double ratio);
+  void Push(Ratios& ratios, double ratio);
 
   std::map<Cell, Ratios> cells_;
   std::map<std::string, Ratios> by_class_;
+  std::uint64_t version_ = 1;
 };
 
 }  // namespace magpie
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -39,6 +39,10 @@
   list_seen_ = false;
   renting_.clear();
   recent_.clear();
+  changed_.clear();
+  full_next_ = {};
+  look_next_ = {};
+  jobs_planned_ = 0;
   wants_tick_ = false;
   places_looked_at_ = 0;
   image_numbers_.clear();
@@ -67,6 +71,7 @@
     if (cancelled && !slot->cancelled) {
       slot->cancelled = true;
       StopAll(*slot);
+      changed_.push_back(spec.id);
       dirty_.insert(spec.id);
       wants_tick_ = true;
     }
@@ -79,6 +84,7 @@
   job.cancelled = cancelled;
   job.image = ImageNumber(spec.image);
   job.shape = ShapeOf(spec);
+  changed_.push_back(spec.id);
   wants_tick_ = true;
   job.tasks.resize(spec.tasks);
   job.blocks.resize((spec.tasks + kTasksPerBlock - 1) / kTasksPerBlock);
@@ -113,10 +119,7 @@
     task.state = TaskState::kBound;
     task.machine = &m;
     task.want_stop = job->cancelled;
-    m.tasks.insert({key.job, r.index});
-    task.room = true;
-    m.used += job->spec.each;
-    if (job->spec.kind == JobKind::kArray) ++m.arrays;
+    Hold(m, *job, r.index);
     ++job->bound;
     ++job->in_zone[m.zone];
     team_use_[job->spec.team] += job->spec.each;
@@ -163,6 +166,12 @@
   return it == jobs_.end() ? nullptr : it->second.get();
 }
 
+Scheduler::Job* Scheduler::JobOf(const Machine& m, const JobId& id) {
+  for (const Held& held : m.tasks)
+    if (held.job->spec.id == id) return held.job;
+  return FindJob(id);
+}
+
 Scheduler::Task* Scheduler::FindTask(const TaskId& id) {
   Job* job = FindJob(id.job);
   return job == nullptr || id.index >= job->tasks.size() ? nullptr : &job->tasks[id.index];
@@ -184,6 +193,17 @@
 
 void Scheduler::WantPush(Machine& m) { push_wanted_.insert(m.id); }
 
+void Scheduler::Hold(Machine& m, Job& job, std::uint32_t index) {
+  m.tasks.push_back({&job, index});
+  job.tasks[index].room = true;
+  m.used += job.spec.each;
+  if (job.spec.kind == JobKind::kArray) ++m.arrays;
+}
+
+void Scheduler::LetGo(Machine& m, const Job& job, std::uint32_t index) {
+  std::erase_if(m.tasks, [&](const Held& h) { return h.job == &job && h.index == index; });
+}
+
 // What a task took of its machine is free again.
 void Scheduler::FreeRoom(Job& job, Task& t) {
   if (!t.room || t.machine == nullptr) return;
@@ -210,10 +230,7 @@
   t.overran = false;
   t.timed = true;
   t.since = now;
-  m.tasks.insert({job.spec.id, index});
-  t.room = true;
-  m.used += job.spec.each;
-  if (job.spec.kind == JobKind::kArray) ++m.arrays;
+  Hold(m, job, index);
   ++job.bound;
   ++job.in_zone[m.zone];
   team_use_[job.spec.team] += job.spec.each;
@@ -229,7 +246,7 @@
   Task& t = job.tasks[index];
   if (t.machine != nullptr) {
     Machine& m = *t.machine;
-    m.tasks.erase({job.spec.id, index});
+    LetGo(m, job, index);
     FreeRoom(job, t);
     if (m.tasks.empty()) m.used = {};
     m.idle_since = now;
@@ -504,6 +521,7 @@
 Status Scheduler::GetStatus() const {
   Status s;
   s.places_looked_at = places_looked_at_;
+  s.jobs_planned = jobs_planned_;
   s.jobs = jobs_.size();
   for (const auto& [id, job] : jobs_) {
     s.pending += job->pending.size();
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -109,6 +109,7 @@
   std::size_t machines_up = 0;
   std::size_t machines_starting = 0;
   std::uint64_t places_looked_at = 0;  // by placement, since the takeover
+  std::uint64_t jobs_planned = 0;      // the same
 };
 
 class Scheduler {
@@ -242,6 +243,18 @@
     std::map<std::string, std::uint32_t> in_zone;
     bool writing = false;  // part of the write in flight
     bool reload = false;   // its record has changed under a write
+    // Expected run times by number of kind, as of a version of the table.
+    mutable std::vector<double> runs;
+    mutable std::uint64_t runs_version = 0;
+  };
+
+  // A task that a machine holds, without a look-up. A job is dropped only when
+  // no machine holds any of its tasks.
+  struct Held {
+    Job* job = nullptr;
+    std::uint32_t index = 0;
+    Task& task() const { return job->tasks[index]; }
+    TaskId id() const { return {job->spec.id, index}; }
   };
 
   struct Machine {
@@ -275,7 +288,7 @@
     Instant push_after;
     Instant probe_after;
     std::optional<Instant> notice_until;
-    std::set<TaskId> tasks;  // binding, bound or ending here
+    std::vector<Held> tasks;  // binding, bound or ending here
     Resources used;
     std::uint32_t arrays = 0;  // tasks of arrays that take room here
     std::vector<TaskReport> last;
@@ -289,6 +302,13 @@
   }
   static JobCounts CountsOf(const Job& job);
   Job* FindJob(const JobId& id);
+  // The same, when it is likely that the machine holds one of its tasks.
+  Job* JobOf(const Machine& m, const JobId& id);
+  // Machines are looked after at the next tick, which is wanted.
+  void LookSoon() {
+    wants_tick_ = true;
+    look_next_ = {};
+  }
   Task* FindTask(const TaskId& id);
   Machine& Meet(const MachineId& id, Instant now);
   bool Conclusive(const Machine& m, bool from_push) const;
@@ -297,6 +317,10 @@
   std::vector<Command> CommandsFor(Machine& m, Instant now);
   void Bind(Job& job, std::uint32_t index, Machine& m, Instant now);
   void Unbind(Job& job, std::uint32_t index, Instant now);
+  static void Hold(Machine& m, Job& job, std::uint32_t index);
+  static void LetGo(Machine& m, const Job& job, std::uint32_t index);
+  Seconds RunOn(const Job& job, std::size_t kind) const;
+  Seconds ExpectOn(const Job& job, const Machine& m) const;
   void MarkDirty(Job& job, std::uint32_t index, Instant now);
   void FreeRoom(Job& job, Task& t);
   void NoteError(Machine& m, Job& job, Instant now);
@@ -330,6 +354,13 @@
   };
   struct Plan {
     std::vector<Slot> slots;
+    std::vector<std::vector<std::size_t>> by_kind;  // slots by number of kind
+    // The rest of a plan is left for the next full one when nothing more can
+    // begin now: no slot that commands can be sent to has room for `least`.
+    bool full = true;
+    Resources least;
+    std::size_t open = 0;
+    Priority lowest = Priority::kProduction;  // of the arrays on machines
     std::map<MachineKind, int> have;
     std::map<MachineKind, std::uint32_t> orders;
     std::map<std::string, Resources> use;  // of the teams, holds included
@@ -354,14 +385,18 @@
   static std::string ShapeOf(const JobSpec& spec);
   std::size_t KindNumber(const MachineKind& kind);
   bool KindAllows(const JobSpec& spec, const KindFacts& kind) const;
-  Plan StartPlan(Instant now);
+  Plan StartPlan(Instant now, const std::vector<Job*>& waiting);
+  static bool Open(const Plan& plan, const Slot& slot);
+  static void HoldIn(Plan& plan, std::size_t slot, Instant start, const Resources& need,
+                     std::optional<Instant> end);
+  std::size_t AddSlot(Plan& plan, Slot slot);
   void NoteArrival(Job& job, double tasks, Instant now);
   Instant EndOf(const Job& job, const Task& t, const Machine& m, Instant now) const;
   void PlanJob(Plan& plan, Job& job, Instant now, WallTime wall, int& budget);
   std::optional<std::size_t> PlanRental(Plan& plan, Job& job, Seconds target, Instant now,
                                         std::optional<Seconds> otherwise);
   std::uint32_t RentSpare(Plan& plan, const JobSpec& spec, std::uint32_t tasks, Instant now);
-  bool MakeRoom(Plan& plan, Job& job, Instant now);
+  bool MakeRoom(const Plan& plan, Job& job, Instant now);
   std::pair<int, int> RankOf(const Job& job) const;
   void PlanSpare(Plan& plan, Instant now);
   void KeepCheap(Plan& plan, Instant now);
@@ -394,6 +429,7 @@
   Instant write_refilled_;
   bool wants_tick_ = false;
   std::uint64_t places_looked_at_ = 0;
+  std::uint64_t jobs_planned_ = 0;
   std::vector<KindFacts> kinds_;
   std::map<MachineKind, std::size_t> kind_numbers_;
   std::map<std::string, std::uint32_t> image_numbers_;
@@ -415,6 +451,9 @@
   bool list_seen_ = false;
   std::set<std::string> renting_;  // orders without an answer
   Instant fleet_next_;
+  Instant full_next_;           // when a plan is made to its end again
+  Instant look_next_;           // when machines are looked after again
+  std::vector<JobId> changed_;  // jobs that came or were cancelled since the last tick
   std::map<std::string, Recent> recent_;
   Instant move_next_;
   std::vector<std::string> notes_;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -1,4 +1,9 @@
 // Blocking HTTP calls over kept connections, with a time limit for each.
+//
+// Requests are built and responses parsed by cpp-httplib; the connections are
+// ours. The library's client sends head and body apart and polls before and
+// after each step, ten system calls and two packets for a small POST. Here it
+// is one send and one recv.
 #pragma once
 
 #include <memory>
@@ -9,10 +14,6 @@
 #include "core/types.h"
 #include "net/address.h"
 
-namespace httplib {
-class Client;
-}
-
 namespace magpie {
 
 struct HttpAnswer {
@@ -36,15 +37,21 @@
   HttpAnswer Post(const std::string& path, const std::string& body);
 
  private:
-  std::unique_ptr<httplib::Client> Take();
-  void Give(std::unique_ptr<httplib::Client> client);
+  class Exchange;
+  class Connection;
+  HttpAnswer Call(const char* method, const std::string& path, const std::string* body,
+                  Seconds timeout);
+  std::unique_ptr<Connection> Take();
+  std::unique_ptr<Connection> Connect() const;
+  void Give(std::unique_ptr<Connection> connection);
 
   Address address_;
   Seconds connect_timeout_;
   Seconds timeout_;
   std::size_t kept_;
+  std::unique_ptr<Exchange> exchange_;
   std::mutex mutex_;
-  std::vector<std::unique_ptr<httplib::Client>> idle_;
+  std::vector<std::unique_ptr<Connection>> idle_;
 };
 
 }  // namespace magpie
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -8,9 +8,9 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <array>
 #include <cerrno>
-#include <cstring>
+
+#include "net/blocking_stream.h"
 
 namespace magpie {
 namespace {
@@ -20,80 +20,12 @@
 constexpr int kBadRequest = 400;
 constexpr int kTooLarge = 413;
 constexpr int kServerError = 500;
+constexpr Seconds kSendTimeout{5};
 constexpr char kBodyTooLong[] = R"({"error":"body too long"})";
 constexpr std::size_t kMostPerRequest = 1024 * 1024;  // bytes read for it, no matter what
 
 thread_local bool close_after = false;
 
-// A connection for the library's parser. Responses are gathered and sent in
-// one go, since every system call and packet is paid for.
-class BlockingStream : public httplib::Stream {
- public:
-  explicit BlockingStream(int socket) : socket_(socket) {}
-
-  // Waits for the next request.
-  bool WaitForData() {
-    read_ = 0;
-    return from_ < to_ || Fill();
-  }
-  bool Flush() {
-    std::size_t sent = 0;
-    while (sent < out_.size()) {
-      const ssize_t n = send(socket_, out_.data() + sent, out_.size() - sent, MSG_NOSIGNAL);
-      if (n < 0 && errno == EINTR) continue;
-      if (n <= 0) return false;
-      sent += static_cast<std::size_t>(n);
-    }
-    out_.clear();
-    return true;
-  }
-
-  bool is_readable() const override { return true; }
-  bool is_writable() const override { return true; }
-  ssize_t read(char* data, std::size_t size) override {
-    if (from_ == to_ && !Fill()) return -1;
-    const std::size_t n = std::min(size, to_ - from_);
-    std::memcpy(data, buffer_.data() + from_, n);
-    from_ += n;
-    return static_cast<ssize_t>(n);
-  }
-  ssize_t write(const char* data, std::size_t size) override {
-    out_.append(data, size);
-    return static_cast<ssize_t>(size);
-  }
-  void get_remote_ip_and_port(std::string& ip, int& port) const override {
-    ip.clear();
-    port = 0;
-  }
-  void get_local_ip_and_port(std::string& ip, int& port) const override {
-    ip.clear();
-    port = 0;
-  }
-  socket_t socket() const override { return socket_; }
-
- private:
-  bool Fill() {
-    // The library limits bodies of a declared length only, not chunked ones.
-    if (read_ > kMostPerRequest) return false;
-    for (;;) {
-      const ssize_t n = recv(socket_, buffer_.data(), buffer_.size(), 0);
-      if (n < 0 && errno == EINTR) continue;
-      if (n <= 0) return false;
-      from_ = 0;
-      to_ = static_cast<std::size_t>(n);
-      read_ += to_;
-      return true;
-    }
-  }
-
-  int socket_;
-  std::array<char, 4096> buffer_{};
-  std::size_t from_ = 0;
-  std::size_t to_ = 0;
-  std::size_t read_ = 0;  // for the present request
-  std::string out_;
-};
-
 }  // namespace
 
 HttpServer::HttpServer(Handler handler, Limits limits)
@@ -156,6 +88,9 @@
     listener_ = -1;
     return false;
   }
+  // Accepted connections have the listener's time limit, so that it need not be
+  // set for each.
+  SetIdleLimit(listener_);
   port_ = address.port;
   if (port_ == 0) {
     socklen_t size = sizeof addr;
@@ -179,22 +114,30 @@
   ended_.wait(lock, [this] { return threads_ == 0; });
 }
 
+void HttpServer::SetIdleLimit(int socket) const {
+  const timeval limit{static_cast<time_t>(limits_.idle.v), 0};
+  setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+}
+
+// Most systems hand the listener's limit on to what it accepts.
+bool HttpServer::HasIdleLimit(int socket) {
+  timeval limit{};
+  socklen_t size = sizeof limit;
+  return getsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &limit, &size) == 0 && limit.tv_sec > 0;
+}
+
 void HttpServer::AcceptLoop() {
-  const auto idle = static_cast<time_t>(limits_.idle.v);
+  std::optional<bool> inherited;
   while (!stopping_) {
     const int socket = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
     if (socket < 0) {
       if (stopping_) return;
-      if (errno != EINTR && errno != ECONNABORTED)
+      if (errno != EINTR && errno != ECONNABORTED && errno != EAGAIN && errno != EWOULDBLOCK)
         std::this_thread::sleep_for(std::chrono::milliseconds(50));  // no sockets left
       continue;
     }
-    const int on = 1;
-    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    const timeval timeout{idle, 0};
-    setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
-    const timeval send_timeout{5, 0};
-    setsockopt(socket, SOL_SOCKET, SO_SNDTIMEO, &send_timeout, sizeof send_timeout);
+    if (!inherited) inherited = HasIdleLimit(socket);
+    if (!*inherited) SetIdleLimit(socket);
     std::lock_guard lock(mutex_);
     if (open_.size() + accepted_.size() >= limits_.connections) {
       close(socket);
@@ -251,7 +194,7 @@
 }
 
 void HttpServer::Serve(int socket) {
-  BlockingStream stream(socket);
+  BlockingStream stream(socket, kMostPerRequest, kSendTimeout);
   while (!stopping_ && stream.WaitForData()) {
     bool closed = false;
     close_after = false;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -58,6 +58,8 @@
   void ConnectionLoop();
   void Serve(int socket);
   bool FewOpen();
+  void SetIdleLimit(int socket) const;
+  static bool HasIdleLimit(int socket);
 
   Handler handler_;
   Limits limits_;
