--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -111,7 +111,7 @@
   const std::size_t most = settings_.sockets > 200 ? settings_.sockets / 2 : settings_.sockets / 3;
   user_server_ =
       std::make_unique<HttpServer>([this](const HttpRequest& r) { return HandleUserSide(r); },
-                                   HttpServer::Limits{.connections = most, .few = most / 4});
+                                   HttpServer::Limits{.connections = most, .few = most * 3 / 4});
   mesh_server_ =
       std::make_unique<HttpServer>([this](const HttpRequest& r) { return HandleMesh(r); },
                                    HttpServer::Limits{.connections = 32});
