A few threads wait for all connections; floods and slow senders cost bounded memory

Changed: threads wait together (epoll, one thread for an event); the one that is woken reads, answers and writes on the blocking socket. Beyond the limit the connection that has waited longest makes room. A request must come whole within ten seconds, and all that are under way share a sixteenth of the memory. Users' requests take three quarters of the threads at most, polls half; beyond that they get 503 at once, so that reports and health checks come through.

--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <chrono>
 #include <list>
 #include <random>
@@ -80,6 +81,18 @@
   return o;
 }
 
+// How many requests may be in progress at a time: their stacks and buffers take
+// an eighth of the memory at most.
+std::size_t MostThreads(const Settings& s) {
+  constexpr double kPart = 1.0 / 8;
+  constexpr double kBytesEach = 64 * 1024;
+  constexpr std::size_t kLeast = 16;
+  constexpr std::size_t kMost = 512;
+  if (s.memory_mb <= 0) return kMost / 8;
+  return std::clamp(static_cast<std::size_t>(s.memory_mb * 1e6 * kPart / kBytesEach), kLeast,
+                    kMost);
+}
+
 HttpResponse Plain(int status, const char* body = "{}") { return {status, body}; }
 
 }  // namespace
@@ -109,9 +122,16 @@
 
 bool Controller::Run() {
   const std::size_t most = settings_.sockets > 200 ? settings_.sockets / 2 : settings_.sockets / 3;
-  user_server_ =
-      std::make_unique<HttpServer>([this](const HttpRequest& r) { return HandleUserSide(r); },
-                                   HttpServer::Limits{.connections = most, .few = most * 3 / 4});
+  const std::size_t at_once = MostThreads(settings_);
+  // Reports and health checks come through when users wait in all their places.
+  users_.most = at_once * 3 / 4;
+  users_.most_polls = at_once / 2;
+  HttpServer::Limits limits{.connections = most, .few = most * 3 / 4, .threads = at_once};
+  constexpr double kPendingPart = 1.0 / 16;  // of the memory, for requests not yet whole
+  if (settings_.memory_mb > 0)
+    limits.pending = static_cast<std::size_t>(settings_.memory_mb * 1e6 * kPendingPart);
+  user_server_ = std::make_unique<HttpServer>(
+      [this](const HttpRequest& r) { return HandleUserSide(r); }, limits);
   mesh_server_ =
       std::make_unique<HttpServer>([this](const HttpRequest& r) { return HandleMesh(r); },
                                    HttpServer::Limits{.connections = 32});
@@ -155,6 +175,14 @@
     return response;
   }
   if (path == wire::kHealthPath) return get ? Health() : Plain(405, R"({"error":"use GET"})");
+  // Under a flood, what can't be taken is answered at once: first polls, then
+  // the rest of what users ask. Workers' reports are not counted.
+  const Presence presence(users_);
+  if (!presence.Admits(get)) {
+    HttpResponse busy = Plain(503, R"({"error":"busy"})");
+    busy.retry_after = true;
+    return busy;
+  }
   // Without the state service, ask a controller that may have it. It is asked
   // first when ours has just failed, last otherwise.
   const bool reached = StateReached();
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -12,6 +12,7 @@
 
 #include "app/job_api.h"
 #include "app/membership.h"
+#include "app/presence.h"
 #include "app/redirects.h"
 #include "app/settings.h"
 #include "cloud/cloud_client.h"
@@ -64,6 +65,7 @@
   bool StillLeading(const Leadership& leadership);
 
   Settings settings_;
+  UsersPresent users_;
   HttpStore store_;
   HttpStore watch_store_;
   CloudClient cloud_;
--- a/src/app/settings.cc
+++ b/src/app/settings.cc
@@ -130,6 +130,7 @@
   s.list_lag = {cloud.Number("list_lag_s", 0)};
   const Section resources = cluster.Sub("resources");
   s.sockets = static_cast<std::uint32_t>(resources.Number("sockets", 20));
+  s.memory_mb = resources.NumberOr("mem_mb", 8, 0);
   return s;
 }
 
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -44,6 +44,7 @@
   double cloud_rps = 0;
   Seconds list_lag;
   std::uint32_t sockets = 0;
+  double memory_mb = 0;  // 0: not told
 
   // Operators' properties, with their defaults.
   Seconds leader_lease{4};
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -48,7 +48,7 @@
 class HttpClient::Connection {
  public:
   Connection(int socket, Seconds send_timeout)
-      : stream(socket, std::numeric_limits<std::size_t>::max(), send_timeout), socket_(socket) {}
+      : stream(socket, {.send = send_timeout}), socket_(socket) {}
   ~Connection() { close(socket_); }
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
@@ -146,6 +146,7 @@
   }
   if (kept_ == 0) request.set_header("Connection", "close");
   httplib::Response response;
+  connection->stream.NextMessage();
   if (!exchange_->Run(connection->stream, request, response)) return answer;
   answer.answered = true;
   answer.status = response.status;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -4,11 +4,14 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <spdlog/spdlog.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
+#include <chrono>
 
 #include "net/blocking_stream.h"
 
@@ -16,7 +19,7 @@
 namespace {
 
 constexpr int kBacklog = 512;
-constexpr std::size_t kIdleThreads = 16;  // kept for the next connections
+constexpr std::size_t kIdleThreads = 4;  // kept for the next requests
 constexpr int kBadRequest = 400;
 constexpr int kTooLarge = 413;
 constexpr int kServerError = 500;
@@ -24,8 +27,15 @@
 constexpr char kBodyTooLong[] = R"({"error":"body too long"})";
 constexpr std::size_t kMostPerRequest = 1024 * 1024;  // bytes read for it, no matter what
 
+constexpr std::uint64_t kStopNumber = 0;
+
 thread_local bool close_after = false;
 
+Instant Now() {
+  const auto t = std::chrono::steady_clock::now().time_since_epoch();
+  return {std::chrono::duration<double>(t).count()};
+}
+
 }  // namespace
 
 HttpServer::HttpServer(Handler handler, Limits limits)
@@ -90,13 +100,26 @@
   }
   // Accepted connections have the listener's time limit, so that it need not be
   // set for each.
-  SetIdleLimit(listener_);
+  SetTimeLimit(listener_);
+  poll_ = epoll_create1(EPOLL_CLOEXEC);
+  if (poll_ < 0) return false;
+  stop_ = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+  if (stop_ >= 0) {
+    epoll_event event{};
+    event.events = EPOLLIN;
+    event.data.u64 = kStopNumber;
+    epoll_ctl(poll_, EPOLL_CTL_ADD, stop_, &event);
+  }
   port_ = address.port;
   if (port_ == 0) {
     socklen_t size = sizeof addr;
     getsockname(listener_, reinterpret_cast<sockaddr*>(&addr), &size);
     port_ = ntohs(addr.sin_port);
   }
+  {
+    std::lock_guard lock(mutex_);
+    StartThread();
+  }
   acceptor_ = std::thread([this] { AcceptLoop(); });
   return true;
 }
@@ -107,20 +130,21 @@
   if (acceptor_.joinable()) acceptor_.join();
   if (listener_ >= 0) close(listener_);
   std::unique_lock lock(mutex_);
-  for (const int socket : open_) shutdown(socket, SHUT_RDWR);
-  for (const int socket : accepted_) close(socket);
-  accepted_.clear();
-  wake_.notify_all();
+  for (const Connection& c : open_) shutdown(c.socket, SHUT_RDWR);
+  if (stop_ >= 0) eventfd_write(stop_, 1);
   ended_.wait(lock, [this] { return threads_ == 0; });
+  while (!open_.empty()) Close(open_.begin());
+  if (stop_ >= 0) close(stop_);
+  if (poll_ >= 0) close(poll_);
 }
 
-void HttpServer::SetIdleLimit(int socket) const {
-  const timeval limit{static_cast<time_t>(limits_.idle.v), 0};
+void HttpServer::SetTimeLimit(int socket) const {
+  const timeval limit{static_cast<time_t>(limits_.whole.v), 0};
   setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
 }
 
 // Most systems hand the listener's limit on to what it accepts.
-bool HttpServer::HasIdleLimit(int socket) {
+bool HttpServer::HasTimeLimit(int socket) {
   timeval limit{};
   socklen_t size = sizeof limit;
   return getsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &limit, &size) == 0 && limit.tv_sec > 0;
@@ -136,50 +160,86 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(50));  // no sockets left
       continue;
     }
-    if (!inherited) inherited = HasIdleLimit(socket);
-    if (!*inherited) SetIdleLimit(socket);
-    std::lock_guard lock(mutex_);
-    if (open_.size() + accepted_.size() >= limits_.connections) {
-      close(socket);
-      continue;
-    }
-    accepted_.push_back(socket);
-    if (idle_threads_ >= accepted_.size()) {
-      wake_.notify_one();
-      continue;
-    }
-    ++threads_;
-    try {
-      std::thread([this] { ConnectionLoop(); }).detach();
-    } catch (const std::system_error& e) {
-      --threads_;
-      spdlog::error("no thread for a connection: {}", e.what());
-      if (threads_ == 0) {
-        close(accepted_.back());
-        accepted_.pop_back();
-      }
+    if (!inherited) inherited = HasTimeLimit(socket);
+    if (!*inherited) SetTimeLimit(socket);
+    Admit(socket);
+  }
+}
+
+// A flood of connections that say nothing must not shut others out: beyond the
+// limit, the one that has waited longest makes room, as does any that has
+// waited for too long.
+void HttpServer::Admit(int socket) {
+  std::lock_guard lock(mutex_);
+  const Instant now = Now();
+  bool full = open_.size() >= limits_.connections;
+  for (auto it = open_.begin(); it != open_.end();) {
+    const auto next = std::next(it);
+    if (!it->busy) {
+      if (!full && now - it->since < limits_.idle) break;
+      Close(it);
+      full = false;
     }
+    it = next;
+  }
+  if (full) {
+    close(socket);
+    return;
+  }
+  if (threads_ == 0) StartThread();  // there was no memory for one
+  open_.push_back({++last_number_, socket, false, now});
+  by_number_[last_number_] = std::prev(open_.end());
+  if (!WaitAgain(open_.back(), true)) Close(std::prev(open_.end()));
+}
+
+// A connection is told of once, then it must be asked for again: no two threads
+// ever have the same one.
+bool HttpServer::WaitAgain(Connection& connection, bool fresh) const {
+  epoll_event event{};
+  event.events = EPOLLIN | EPOLLONESHOT;
+  event.data.u64 = connection.number;
+  return epoll_ctl(poll_, fresh ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, connection.socket, &event) == 0;
+}
+
+void HttpServer::Close(Connections::iterator connection) {
+  close(connection->socket);
+  by_number_.erase(connection->number);
+  open_.erase(connection);
+}
+
+// Under the lock.
+void HttpServer::StartThread() {
+  ++threads_;
+  try {
+    std::thread([this] { ServeLoop(); }).detach();
+  } catch (const std::system_error& e) {
+    --threads_;
+    spdlog::error("no thread for requests: {}", e.what());
   }
 }
 
-void HttpServer::ConnectionLoop() {
+void HttpServer::ServeLoop() {
   std::unique_lock lock(mutex_);
-  while (!stopping_) {
-    if (accepted_.empty()) {
-      if (idle_threads_ >= kIdleThreads) break;
-      ++idle_threads_;
-      wake_.wait(lock, [this] { return stopping_ || !accepted_.empty(); });
-      --idle_threads_;
-      continue;
-    }
-    const int socket = accepted_.front();
-    accepted_.pop_front();
-    open_.push_back(socket);
+  while (!stopping_ && waiting_ < kIdleThreads) {
+    ++waiting_;
     lock.unlock();
-    Serve(socket);
+    epoll_event event{};
+    const int n = epoll_wait(poll_, &event, 1, -1);
     lock.lock();
-    open_.erase(std::find(open_.begin(), open_.end(), socket));
-    close(socket);
+    --waiting_;
+    if (n <= 0 || stopping_) continue;
+    const auto found = by_number_.find(event.data.u64);
+    if (found == by_number_.end()) continue;  // closed meanwhile
+    const auto connection = found->second;
+    connection->busy = true;
+    if (waiting_ == 0 && threads_ < limits_.threads) StartThread();
+    lock.unlock();
+    const bool keep = Serve(connection->socket);
+    lock.lock();
+    connection->busy = false;
+    connection->since = Now();
+    open_.splice(open_.end(), open_, connection);
+    if (!keep || !WaitAgain(*connection, false)) Close(connection);
   }
   --threads_;
   // Under the lock: nobody may destroy the server before this thread lets go.
@@ -193,14 +253,19 @@
   return open_.size() <= limits_.few;
 }
 
-void HttpServer::Serve(int socket) {
-  BlockingStream stream(socket, kMostPerRequest, kSendTimeout);
-  while (!stopping_ && stream.WaitForData()) {
+// Answers what has come. False: the connection is over.
+bool HttpServer::Serve(int socket) {
+  BlockingStream stream(socket,
+                        {kMostPerRequest, kSendTimeout, limits_.whole, &pending_, limits_.pending});
+  do {
+    if (!stream.WaitForData()) return false;
     bool closed = false;
     close_after = false;
     const bool ok = process_request(stream, false, closed, nullptr);
-    if (!stream.Flush() || !ok || closed || close_after) return;
-  }
+    // Half a request is not called malformed, or its user would not try again.
+    if (stream.broken() || !stream.Flush() || !ok || closed || close_after) return false;
+  } while (stream.has_more());
+  return true;
 }
 
 }  // namespace magpie
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -1,20 +1,24 @@
-// An HTTP server on cpp-httplib's parser, with blocking loops of its own.
+// An HTTP server on cpp-httplib's parser, with loops of its own.
 //
 // The library's own loop keeps a pool thread per open connection and wakes
 // every 10 ms on each idle one, which the small machines can't pay for. Here a
-// thread blocks in recv until its connection has something to say, and threads
-// without a connection wait to be used again.
+// few threads wait together for whichever connection has something to say; the
+// one that is woken reads, answers and writes on the blocking socket, and lets
+// the connection go back to waiting. An open connection costs its socket and
+// little else: a stack for each would be 40 KB.
 #pragma once
 
 #include <httplib.h>
 
 #include <atomic>
 #include <condition_variable>
-#include <deque>
+#include <cstdint>
 #include <functional>
+#include <list>
 #include <mutex>
 #include <string>
 #include <thread>
+#include <unordered_map>
 
 #include "core/types.h"
 #include "net/address.h"
@@ -40,9 +44,12 @@
 
   struct Limits {
     std::size_t connections = 400;
-    std::size_t few = 400;  // from so many on, brief ones are closed after an answer
+    std::size_t few = 400;     // from so many on, brief ones are closed after an answer
+    std::size_t threads = 64;  // requests in progress at a time
     std::size_t body = 64 * 1024;
-    Seconds idle{120};
+    std::size_t pending = 1024 * 1024;  // bytes of all requests that have not come whole
+    Seconds idle{120};                  // a connection may be silent between requests
+    Seconds whole{10};                  // within which a request has to come whole
   };
 
   HttpServer(Handler handler, Limits limits);
@@ -54,25 +61,40 @@
   void Shutdown();
 
  private:
+  struct Connection {
+    std::uint64_t number = 0;
+    int socket = -1;
+    bool busy = false;  // a thread has it
+    Instant since;      // when it began to wait
+  };
+  using Connections = std::list<Connection>;
+
   void AcceptLoop();
-  void ConnectionLoop();
-  void Serve(int socket);
+  void Admit(int socket);
+  void ServeLoop();
+  bool Serve(int socket);
+  void StartThread();
+  bool WaitAgain(Connection& connection, bool fresh) const;
+  void Close(Connections::iterator connection);
   bool FewOpen();
-  void SetIdleLimit(int socket) const;
-  static bool HasIdleLimit(int socket);
+  void SetTimeLimit(int socket) const;
+  static bool HasTimeLimit(int socket);
 
   Handler handler_;
   Limits limits_;
   int listener_ = -1;
+  int poll_ = -1;  // what the threads wait on
+  int stop_ = -1;  // wakes them all for good
   int port_ = 0;
   std::atomic<bool> stopping_{false};
+  std::atomic<std::size_t> pending_{0};
   std::thread acceptor_;
   std::mutex mutex_;
-  std::condition_variable wake_;
   std::condition_variable ended_;
-  std::deque<int> accepted_;
-  std::deque<int> open_;
-  std::size_t idle_threads_ = 0;
+  Connections open_;  // those that wait in the order of their waiting
+  std::unordered_map<std::uint64_t, Connections::iterator> by_number_;
+  std::uint64_t last_number_ = 0;
+  std::size_t waiting_ = 0;  // threads
   std::size_t threads_ = 0;
 };
 
--- a/tests/codec_test.cc
+++ b/tests/codec_test.cc
@@ -9,6 +9,7 @@
 #include <array>
 #include <thread>
 
+#include "app/presence.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "world.h"
@@ -134,10 +135,78 @@
   EXPECT_FALSE(client.Get("/a").answered);
 }
 
+// A raw connection to a server in this process.
+int ConnectTo(int port) {
+  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in addr{};
+  addr.sin_family = AF_INET;
+  addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  addr.sin_port = htons(static_cast<std::uint16_t>(port));
+  if (connect(socket, reinterpret_cast<sockaddr*>(&addr), sizeof addr) == 0) return socket;
+  close(socket);
+  return -1;
+}
+
+// Connections that say nothing cost a socket each and no thread, and beyond the
+// limit the longest silent one makes room.
+TEST(HttpServer, AFloodOfSilentConnectionsShutsNobodyOut) {
+  HttpServer server(
+      [](const HttpRequest&) {
+        return HttpResponse{200, "here", false};
+      },
+      {.connections = 8, .threads = 2});
+  ASSERT_TRUE(server.Start({"127.0.0.1", 0}));
+  std::vector<int> silent;
+  for (int i = 0; i < 20; ++i) silent.push_back(ConnectTo(server.port()));
+  HttpClient client({"127.0.0.1", server.port()}, {1}, {5}, 1);
+  EXPECT_EQ(client.Get("/a").body, "here");
+  char byte = 0;
+  EXPECT_EQ(recv(silent.front(), &byte, 1, 0), 0) << "the first one was closed";
+  for (const int socket : silent) close(socket);
+}
+
+// Requests that do not come whole hold a bounded number of bytes, together.
+TEST(HttpServer, UnfinishedRequestsTakeBoundedMemory) {
+  HttpServer server(
+      [](const HttpRequest& r) {
+        return HttpResponse{200, r.body, false};
+      },
+      {.threads = 8, .pending = 3 * 4096});
+  ASSERT_TRUE(server.Start({"127.0.0.1", 0}));
+  const std::string head = "POST /x HTTP/1.1\r\nContent-Length: 60000\r\n\r\n";
+  std::vector<int> slow;
+  for (int i = 0; i < 4; ++i) {
+    slow.push_back(ConnectTo(server.port()));
+    const std::string part = head + std::string(20000, 'x');
+    ASSERT_EQ(send(slow.back(), part.data(), part.size(), 0), static_cast<ssize_t>(part.size()));
+  }
+  char byte = 0;
+  for (const int socket : slow) EXPECT_LE(recv(socket, &byte, 1, 0), 0) << "closed unanswered";
+  HttpClient client({"127.0.0.1", server.port()}, {1}, {5}, 1);
+  EXPECT_EQ(client.Post("/x", "small").body, "small") << "others go on";
+  for (const int socket : slow) close(socket);
+}
+
+// In a flood, polls give way before submissions, and reports are not counted.
+TEST(UsersPresent, PollsGiveWayFirst) {
+  UsersPresent users;
+  users.most = 2;
+  users.most_polls = 1;
+  const Presence first(users);
+  EXPECT_TRUE(first.Admits(true));
+  {
+    const Presence second(users);
+    EXPECT_FALSE(second.Admits(true));
+    EXPECT_TRUE(second.Admits(false));
+    EXPECT_FALSE(Presence(users).Admits(false));
+  }
+  EXPECT_TRUE(Presence(users).Admits(false)) << "the place is free again";
+}
+
 // Each system call and packet is paid for: a small request is one packet, head
 // and body, and its connection serves the next one.
 TEST(HttpClient, ARequestIsOneSendOverAKeptConnection) {
-  const int listener = socket(AF_INET, SOCK_STREAM, 0);
+  const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in addr{};
   addr.sin_family = AF_INET;
   addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
