--- a/src/core/dialogue.cc
+++ b/src/core/dialogue.cc
@@ -139,10 +139,11 @@
     job->errors = 0;
     // What began under an earlier leader has run for longer than we know.
     if (t.running && t.timed && !job->cancelled) {
-      const Seconds expected = ExpectOn(*job, m);
-      if (expected.v > 0 && !t.overran) NotePace(m, (now - t.since).v / expected.v);
-      // A slow machine says nothing of its type.
-      if (!m.cordoned) table_.Learn(job->spec, m.type, now - t.since);
+      if (!t.overran) NotePace(m, *job, now - t.since, true);
+      // A slow machine says nothing of its type, nor does what was done before
+      // of a task that saves.
+      if (!m.cordoned && (t.attempt.v == 1 || job->spec.checkpoint.v <= 0))
+        LearnRunTime(m, *job, now - t.since);
     }
     if (job->cancelled)
       Unbind(*job, entry.task.index, now);
--- a/src/core/machine_care.cc
+++ b/src/core/machine_care.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <tuple>
 
 #include "core/scheduler.h"
@@ -7,6 +8,9 @@
 namespace magpie {
 namespace {
 constexpr std::size_t kGoneRemembered = 4096;
+constexpr double kOverrun = 2.5;  // in expected run times, for tasks that have not ended yet
+
+std::size_t NumberOf(const MachineId& id) { return std::hash<std::string>{}(id.v); }
 }  // namespace
 
 void Scheduler::MachineGone(const MachineId& id, Instant now) {
@@ -137,16 +141,31 @@
   }
 }
 
+void Scheduler::LearnRunTime(const Machine& m, Job& job, Seconds took) {
+  if (job.spec.estimate.v <= 0) return;
+  table_.Learn(job.spec, m.type, took);
+  job.pace.Add(NumberOf(m.id), took.v / job.spec.estimate.v);
+  job.runs_version = 0;  // expected anew
+}
+
 // A machine whose tasks all take far longer than expected is slow: it gets no
-// more, and what can be saved moves on. One long task proves nothing, and
-// estimates that are wrong everywhere are learned by the table first.
-void Scheduler::NotePace(Machine& m, double ratio) {
+// more, and what can be saved moves on. One long task proves nothing, nor do
+// several of one job that is longer than its owner thought: each counts if
+// tasks of its job took less elsewhere, and otherwise one for each job.
+void Scheduler::NotePace(Machine& m, const Job& job, Seconds took, bool ended) {
   constexpr std::size_t kEnough = 3;
   constexpr double kSlow = 2;
-  m.pace.push_back(ratio);
+  if (job.spec.estimate.v <= 0) return;
+  const auto elsewhere = job.pace.Elsewhere(NumberOf(m.id));
+  const double expected =
+      elsewhere ? *elsewhere * job.spec.estimate.v : table_.Expect(job.spec, m.type).v;
+  const bool slow = took.v >= (ended ? kSlow : kOverrun) * expected;
+  if (!ended && !slow) return;
+  if (!elsewhere) std::erase_if(m.pace, [&](const auto& p) { return p.first == job.spec.id; });
+  m.pace.emplace_back(job.spec.id, slow);
   if (m.pace.size() > kEnough) m.pace.pop_front();
   if (m.cordoned || m.pace.size() < kEnough ||
-      *std::min_element(m.pace.begin(), m.pace.end()) < kSlow)
+      !std::all_of(m.pace.begin(), m.pace.end(), [](const auto& p) { return p.second; }))
     return;
   m.cordoned = true;
   if (options_.notes) Note("slow " + m.id.v);
@@ -163,7 +182,6 @@
 
 // Tasks that have not ended yet may already show that their machine is slow.
 void Scheduler::NoteOverruns(Machine& m, Instant now) {
-  constexpr double kOverrun = 2.5;
   if (m.cordoned || !m.up) return;
   for (const Held& held : m.tasks) {
     Task& t = held.task();
@@ -171,7 +189,7 @@
     const Seconds expected = ExpectOn(*held.job, m);
     if (expected.v <= 0 || now - t.since < kOverrun * expected) continue;
     t.overran = true;
-    NotePace(m, kOverrun);
+    NotePace(m, *held.job, now - t.since, false);
     if (m.cordoned) return;
   }
 }
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -243,6 +243,7 @@
     std::map<std::string, std::uint32_t> in_zone;
     bool writing = false;  // part of the write in flight
     bool reload = false;   // its record has changed under a write
+    JobPace pace;
     // Expected run times by number of kind, as of a version of the table.
     mutable std::vector<double> runs;
     mutable std::uint64_t runs_version = 0;
@@ -294,7 +295,8 @@
     std::vector<TaskReport> last;
     std::deque<std::pair<std::uint32_t, double>> images;  // latest first
     std::uint32_t errors_in_row = 0;
-    std::deque<double> pace;  // latest run times, in expected ones
+    // Of the latest run times that tell something: from which job, and slow?
+    std::deque<std::pair<JobId, bool>> pace;
   };
 
   void Note(std::string text) {
@@ -408,7 +410,8 @@
   bool Guaranteed(const std::string& name, const Resources& use) const;
   bool InGuarantee(const Job& job) const;
   int CountKind(const MachineKind& kind) const;
-  void NotePace(Machine& m, double ratio);
+  void NotePace(Machine& m, const Job& job, Seconds took, bool ended);
+  void LearnRunTime(const Machine& m, Job& job, Seconds took);
   void NoteOverruns(Machine& m, Instant now);
   void LookAfterMachines(Instant now);
   std::set<std::string> ZonesInDoubt(Instant now);
