--- a/src/core/machine_care.cc
+++ b/src/core/machine_care.cc
@@ -145,7 +145,6 @@
   if (job.spec.estimate.v <= 0) return;
   table_.Learn(job.spec, m.type, took);
   job.pace.Add(NumberOf(m.id), took.v / job.spec.estimate.v);
-  job.runs_version = 0;  // expected anew
 }
 
 // A machine whose tasks all take far longer than expected is slow: it gets no
--- a/src/core/planning.cc
+++ b/src/core/planning.cc
@@ -126,10 +126,7 @@
   }
   if (job.runs.size() <= kind) job.runs.resize(kinds_.size(), kUnknown);
   double& run = job.runs[kind];
-  if (run < 0) {
-    const auto own = job.pace.Median();
-    run = own ? *own * job.spec.estimate.v : table_.Expect(job.spec, kinds_[kind].kind.type).v;
-  }
+  if (run < 0) run = table_.Expect(job.spec, kinds_[kind].kind.type).v;
   return {run};
 }
 
--- a/src/core/run_time_table.cc
+++ b/src/core/run_time_table.cc
@@ -13,7 +13,7 @@
 constexpr double kLongestEstimate = 1e7;  // more than this is nonsense
 constexpr std::size_t kOfOneJob = 15;     // finishes remembered of each job
 
-double MedianOf(std::vector<double>& values) {
+double MedianOf(std::vector<double> values) {
   const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
   std::nth_element(values.begin(), middle, values.end());
   return *middle;
@@ -24,42 +24,26 @@
   return static_cast<int>(std::lround(std::log2(std::max(spec.each.cpus, 0.25))));
 }
 
+void RunTimeTable::Push(Ratios& ratios, double ratio) {
+  ratios.latest.push_back(ratio);
+  if (ratios.latest.size() > kRemembered) ratios.latest.pop_front();
+  const double median = MedianOf({ratios.latest.begin(), ratios.latest.end()});
+  if (ratios.median != median || ratios.latest.size() == kEnough) ++version_;
+  ratios.median = median;
+}
+
 void JobPace::Add(std::size_t machine, double ratio) {
   if (!std::isfinite(ratio) || ratio <= 0) return;
   latest_.emplace_back(machine, std::clamp(ratio, kLeastRatio, kMostRatio));
   if (latest_.size() > kOfOneJob) latest_.erase(latest_.begin());
 }
 
-std::optional<double> JobPace::Median() const {
-  if (latest_.size() < kEnough) return std::nullopt;
-  std::vector<double> ratios;
-  for (const auto& [machine, ratio] : latest_) ratios.push_back(ratio);
-  return MedianOf(ratios);
-}
-
 std::optional<double> JobPace::Elsewhere(std::size_t machine) const {
   std::vector<double> ratios;
   for (const auto& [there, ratio] : latest_)
     if (there != machine) ratios.push_back(ratio);
   if (ratios.size() < kEnough) return std::nullopt;
-  return MedianOf(ratios);
-}
-
-void RunTimeTable::Push(Ratios& ratios, const std::string& job, double ratio) {
-  auto of_job = std::find_if(ratios.latest.begin(), ratios.latest.end(),
-                             [&](const Ratios::OfJob& o) { return o.job == job; });
-  if (of_job == ratios.latest.end()) {
-    if (ratios.latest.size() >= kRemembered) ratios.latest.pop_front();
-    ratios.latest.push_back({job, 0, 0});
-    of_job = std::prev(ratios.latest.end());
-  }
-  of_job->sum += ratio;
-  ++of_job->count;
-  std::vector<double> means;
-  for (const Ratios::OfJob& o : ratios.latest) means.push_back(o.sum / o.count);
-  const double median = MedianOf(means);
-  if (ratios.median != median || ratios.latest.size() == kEnough) ++version_;
-  ratios.median = median;
+  return MedianOf(std::move(ratios));
 }
 
 Seconds RunTimeTable::Expect(const JobSpec& spec, const std::string& type) const {
@@ -76,8 +60,8 @@
 void RunTimeTable::Learn(const JobSpec& spec, const std::string& type, Seconds took) {
   if (spec.estimate.v <= 0 || !std::isfinite(took.v) || took.v <= 0) return;
   const double ratio = std::clamp(took.v / spec.estimate.v, kLeastRatio, kMostRatio);
-  Push(cells_[{type, SizeOf(spec)}], spec.id.v, ratio);
-  Push(by_class_[spec.job_class], spec.id.v, ratio);
+  Push(cells_[{type, SizeOf(spec)}], ratio);
+  Push(by_class_[spec.job_class], ratio);
 }
 
 }  // namespace magpie
--- a/src/core/run_time_table.h
+++ b/src/core/run_time_table.h
@@ -15,14 +15,13 @@
 namespace magpie {
 
 // What the tasks of one job took, in estimates. The owner's error is the same
-// for all of them, so a few finishes tell what the others will take.
+// for all of them, so it takes the machines that ran others to tell whether one
+// that took long says something of its machine.
 class JobPace {
  public:
   // `machine` is any number that tells machines apart.
   void Add(std::size_t machine, double ratio);
-  // None until enough is known.
-  std::optional<double> Median() const;
-  // The same without what was seen on this machine.
+  // The median on other machines; none until enough is known.
   std::optional<double> Elsewhere(std::size_t machine) const;
 
  private:
@@ -31,8 +30,7 @@
 
 // The owners' estimates are often wrong, and on some days all wrong the same
 // way. The table keeps, by machine type and task size, the ratio of real run
-// time to estimate, one for each of the latest jobs, as a median that single
-// nonsense values and single large jobs cannot move far.
+// time to estimate, as a median that single nonsense values cannot move far.
 class RunTimeTable {
  public:
   // Expected run time of a task of this job on this machine type.
@@ -46,15 +44,10 @@
   using Cell = std::pair<std::string, int>;  // machine type, size of the task
   static int SizeOf(const JobSpec& spec);
   struct Ratios {
-    struct OfJob {
-      std::string job;
-      double sum = 0;
-      std::uint32_t count = 0;
-    };
-    std::deque<OfJob> latest;
+    std::deque<double> latest;
     double median = 1;  // looked up far more often than learned
   };
-  void Push(Ratios& ratios, const std::string& job, double ratio);
+  void Push(Ratios& ratios, double ratio);
 
   std::map<Cell, Ratios> cells_;
   std::map<std::string, Ratios> by_class_;
