--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -300,8 +300,10 @@
   }
 }
 
-// Bindings first, since tasks wait for them; then jobs that are over, which
-// users wait for; then single ends, which can wait when changes are scarce.
+// Bindings first, since tasks wait for them, by priority and then by age: after
+// many machines died, hundreds wait for a few changes a second. Then jobs that
+// are over, which users wait for; then single ends, which can wait when changes
+// are scarce.
 std::vector<JobId> Scheduler::WriteOrder(Instant now) const {
   constexpr Seconds kEndsWait{2};
   const bool scarce = write_budget_ < 0.5 * options_.writes_per_s;
@@ -318,6 +320,12 @@
     else if (!scarce || now - job.dirty_since > kEndsWait)
       ends.push_back(id);
   }
+  auto key = [this](const JobId& id) {
+    const Job& job = *jobs_.at(id);
+    return std::pair(-static_cast<int>(job.spec.priority), job.dirty_since);
+  };
+  std::stable_sort(order.begin(), order.end(),
+                   [&](const JobId& a, const JobId& b) { return key(a) < key(b); });
   order.insert(order.end(), finals.begin(), finals.end());
   order.insert(order.end(), ends.begin(), ends.end());
   return order;
--- a/src/worker/worker_client.cc
+++ b/src/worker/worker_client.cc
@@ -11,7 +11,11 @@
   const auto address = Address::Parse(push.addr);
   if (!address) return {PushEnd::kNotSent, std::nullopt};
   // A connection for each push: workers are many and pushes to one are rare.
-  HttpClient client(*address, Seconds{1}, timeout, 0);
+  // Probes are many when machines died, and most of those are dead: a machine
+  // that lives takes a connection within milliseconds.
+  constexpr Seconds kConnect{1};
+  constexpr Seconds kProbeConnect{0.4};
+  HttpClient client(*address, push.commands.empty() ? kProbeConnect : kConnect, timeout, 0);
   const HttpAnswer answer = client.Post(
       wire::kCommandsPath, wire::PushToJson(push.token, push.session, push.commands).dump());
   if (!answer.sent) return {PushEnd::kNotSent, std::nullopt};
--- a/tests/growth_test.cc
+++ b/tests/growth_test.cc
@@ -281,6 +281,30 @@
   EXPECT_LE(plan.puts.size(), 4U);
 }
 
+// After many machines died, replicas waited behind arrays for a few changes a
+// second, by the order of their jobs' names.
+TEST_F(World, BindingsAreWrittenByPriority) {
+  Scheduler::Options options = DefaultOptions();
+  options.writes_per_s = 4;
+  options.most_ops = 2;
+  Node& node = nodes_.emplace_back(store, "n0", options);
+  AddWorker("m-1", "large");
+  AddWorker("m-2", "large");
+  ASSERT_TRUE(node.TakeOver(now));
+  Settle(node);
+  for (int j = 1; j <= 4; ++j) Run(node, MakeJob("j-" + std::to_string(j)));
+  JobSpec service = MakeJob("j-9");
+  service.kind = JobKind::kService;
+  service.priority = Priority::kProduction;
+  service.estimate = {};
+  Run(node, service);
+  Pass(2);
+  node.core.Tick(now, wall);
+  const WritePlan plan = node.core.NextWrite(now);
+  ASSERT_EQ(plan.puts.size(), 2U);
+  EXPECT_EQ(plan.puts.front().block.job, JobId{"j-9"});
+}
+
 TEST_F(World, AReportOfThousandsOfStrangersIsAnswered) {
   Node& node = AddNode("n0");
   FakeWorker& w = AddWorker("m-1");
