--- a/src/core/dialogue.cc
+++ b/src/core/dialogue.cc
@@ -296,7 +296,7 @@
   m.push_open = false;
   m.reached = end == PushEnd::kAnswered;
   if (push.commands.empty() && end != PushEnd::kAnswered) {
-    ++m.failed_probes;
+    if (m.failed_probes++ == 0) m.failing_since = now;
     m.suspected = !m.relayed && now - m.heard > std::min(options_.report, Seconds{4});
     m.probe_after = now + Seconds{kProbeAgain};
     LookSoon();
--- a/src/core/machine_care.cc
+++ b/src/core/machine_care.cc
@@ -217,15 +217,20 @@
     ++zone.all;
     if (now - m->heard > late) ++zone.silent;
     if (m->relayed && now - m->heard < kRelayedReports * options_.report) ++zone.relayed;
-    zone.heard = std::max(zone.heard, m->heard);
+    // What comes by way of another controller does not say that we reach it.
+    if (!m->relayed) zone.heard = std::max(zone.heard, m->heard);
   }
   std::set<std::string> doubt;
+  zone_heard_.clear();
   for (const auto& [name, zone] : zones) {
+    zone_heard_[name] = zone.heard;
     const bool half = zone.silent > 1 && 2 * zone.silent >= zone.all;
     const Seconds gap = std::max(kLeastGap, (kManyTimes / zone.all) * options_.report);
     if (half || (zone.all > 1 && now - zone.heard > gap) ||
         (zone.relayed > 0 && kPart * zone.relayed >= zone.all))
-      doubt.insert(name);
+      doubt_until_[name] = now + 0.5 * options_.report;
+    // It stays a while, so that probes can tell who is there after all.
+    if (now < doubt_until_[name]) doubt.insert(name);
   }
   return doubt;
 }
@@ -236,6 +241,7 @@
   constexpr double kReportsAtLeast = 2.5;
   constexpr Seconds kAlarm{10};
   constexpr Seconds kCutLonger{80};
+  constexpr Seconds kAfterFailure{0.3};  // reports may have been on their way
   const std::set<std::string> doubt = ZonesInDoubt(now);
   // A machine cut off is left alone until its lease must have ended; longer in
   // zones where a controller of ours may go on renewing it.
@@ -251,8 +257,9 @@
     Seconds patience = lone;
     if (cut_off)
       patience = options_.guarded_zones.contains(m->zone) ? long_cut : lease_ended;
-    else if (m->up && m->failed_probes >= kFailedProbes)
-      patience = kLeastSilence;  // it does not answer either
+    else if (m->up && m->failed_probes >= kFailedProbes &&
+             zone_heard_[m->zone] > m->failing_since + kAfterFailure)
+      patience = kLeastSilence;  // it does not answer either, and others of its zone are heard
     bool release = false;
     if (m->up || !m->tasks.empty()) {
       // Returning a machine is the certain fence: once the cloud has answered,
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -50,6 +50,8 @@
   probe_queue_.clear();
   probe_scan_ = {};
   alarm_until_ = {};
+  doubt_until_.clear();
+  zone_heard_.clear();
 }
 
 void Scheduler::SetTypes(std::vector<MachineType> types) {
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -278,6 +278,7 @@
     bool reached = false;             // a push got through since then
     bool suspected = false;           // it misses reports and does not answer
     std::uint32_t failed_probes = 0;  // in a row, since it was last heard
+    Instant failing_since;            // when the first of them failed
     std::uint64_t session = 0;
     std::uint64_t seq = 0;
     Token seen;   // highest token the worker is known to have
@@ -439,7 +440,9 @@
   std::set<MachineId> push_wanted_;
   std::deque<MachineId> probe_queue_;
   Instant probe_scan_;
-  Instant alarm_until_;  // machines were found dead
+  Instant alarm_until_;                         // machines were found dead
+  std::map<std::string, Instant> doubt_until_;  // zones that may be cut off
+  std::map<std::string, Instant> zone_heard_;   // when each was last heard directly
   std::map<MachineId, std::unique_ptr<Machine>> machines_;
   std::set<MachineId> gone_;
   std::deque<MachineId> gone_order_;
