Jobs whole within a guarantee go before tasks that it covers for now

Cause: PROTOCOL counts a job as within its team's guarantee when it fits into it along with the team's earlier unfinished jobs; we took the use of the moment, so large arrays that do not count took the room of jobs that do, as soon as their team used little. Change: each job claims what it takes in the order of submission until it is done or cancelled; whole ones come first and have the guarantee's target.

--- a/src/core/planning.cc
+++ b/src/core/planning.cc
@@ -45,6 +45,31 @@
   return false;
 }
 
+// Which jobs lie within their team's guarantee whole, along with the team's earlier
+// unfinished jobs: PROTOCOL's words, "How aims are counted". By the use of the moment
+// alone, the tasks of jobs that do not fit took the room of those that do. Each claims
+// what it takes, in the order of submission, which is not that of a takeover's loads.
+void Scheduler::ClaimGuarantees(std::vector<Job*> arrived) {
+  std::sort(arrived.begin(), arrived.end(), [](const Job* a, const Job* b) {
+    return std::tie(a->spec.submitted, a->spec.id) < std::tie(b->spec.submitted, b->spec.id);
+  });
+  for (Job* job : arrived) {
+    const JobSpec& spec = job->spec;
+    if (job->cancelled || job->done == spec.tasks) continue;
+    const double tasks = spec.tasks;
+    job->claim = {tasks * spec.each.cpus, tasks * spec.each.gpus, tasks * spec.each.memory_gb};
+    Resources& claims = team_claims_[spec.team];
+    claims += job->claim;
+    job->within = Guaranteed(spec.team, claims);
+  }
+}
+
+// The job is done, cancelled or gone.
+void Scheduler::DropClaim(Job& job) {
+  if (job.claim.cpus > 0 || job.claim.gpus > 0 || job.claim.memory_gb > 0)
+    team_claims_[job.spec.team] -= std::exchange(job.claim, {});
+}
+
 // The same for a job's team with one more of its tasks.
 bool Scheduler::InGuarantee(const Job& job) const {
   auto it = team_use_.find(job.spec.team);
@@ -70,8 +95,8 @@
   std::vector<std::pair<double, double>> targets;
   if (job.spec.deadline) targets.emplace_back(job.spec.deadline->v, job.spec.deadline->v);
   for (const Objective& o : options_.objectives) {
-    // Work within its team's guarantee is to start soon, whatever its class.
-    if (o.kind == "guarantee" && with_guarantee && InGuarantee(job))
+    // A job within its team's guarantee is to start soon, whatever its class.
+    if (o.kind == "guarantee" && with_guarantee && job.within)
       targets.emplace_back(o.within.v + longest, o.within.v);
     if (o.job_class != job.spec.job_class) continue;
     if (o.kind == "finished") targets.emplace_back(o.within.v, o.within.v);
@@ -94,10 +119,11 @@
   return due;
 }
 
-// Lower ranks first: production and work within a guarantee, then by priority.
+// Lower ranks first: production and jobs that lie within a guarantee whole, then
+// the tasks that their team's guarantee still covers; then by priority.
 std::pair<int, int> Scheduler::RankOf(const Job& job) const {
-  const bool first = job.spec.priority == Priority::kProduction || InGuarantee(job);
-  return {first ? 0 : 1, -static_cast<int>(job.spec.priority)};
+  const bool first = job.spec.priority == Priority::kProduction || job.within;
+  return {first ? 0 : InGuarantee(job) ? 1 : 2, -static_cast<int>(job.spec.priority)};
 }
 
 // Within a rank, work that can still be in time goes before work that is late:
@@ -736,18 +762,30 @@
   recent.at = now;
 }
 
+// Jobs that came or were cancelled since the last tick.
+void Scheduler::NoteChangedJobs(Instant now) {
+  std::vector<Job*> arrived;
+  for (const JobId& id : std::exchange(changed_, {})) {
+    Job* job = FindJob(id);
+    if (job == nullptr) continue;
+    if (job->arrived.v == 0) {
+      NoteArrival(*job, job->spec.tasks, now);
+      arrived.push_back(job);
+    }
+    if (!job->cancelled) continue;
+    DropClaim(*job);
+    if (job->cancelled_at.v == 0) job->cancelled_at = now;
+  }
+  ClaimGuarantees(std::move(arrived));
+}
+
 void Scheduler::Tick(Instant now, WallTime wall) {
   constexpr int kMostPlanned = 4000;  // waiting tasks looked at in one go
   constexpr double kFleetEvery = 1;
   constexpr Seconds kLookEvery{0.25};
   if (!loaded_) return;
   wants_tick_ = false;
-  for (const JobId& id : std::exchange(changed_, {})) {
-    Job* job = FindJob(id);
-    if (job == nullptr) continue;
-    if (job->arrived.v == 0) NoteArrival(*job, job->spec.tasks, now);
-    if (job->cancelled && job->cancelled_at.v == 0) job->cancelled_at = now;
-  }
+  NoteChangedJobs(now);
   if (now >= look_next_) {
     look_next_ = now + kLookEvery;
     NoteOverruns(now);
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -48,6 +48,7 @@
   machines_looked_at_ = 0;
   gone_order_.clear();
   team_use_.clear();
+  team_claims_.clear();
   early_.clear();
   pages_.Clear();
   by_serial_.clear();
@@ -183,6 +184,7 @@
 }
 
 void Scheduler::FinishLoad(Instant now) {
+  std::vector<Job*> loaded;
   for (auto& [id, job] : jobs_) {
     std::deque<std::uint32_t> pending;
     for (std::uint32_t i : job->pending)
@@ -192,7 +194,9 @@
     NoteArrival(*job, 0, now);
     job->cancelled_at = now;
     if (Final(*job)) dirty_.insert(id);
+    loaded.push_back(job.get());
   }
+  ClaimGuarantees(std::move(loaded));
   for (auto& [id, m] : machines_) {
     roster_.Heard(*m, now);
     roster_.HeardDirectly(m->zone, now);
@@ -218,6 +222,7 @@
   Job* job = FindJob(id);
   if (job == nullptr) return;
   for (Task& t : job->tasks) pages_.Leave(t.page);
+  DropClaim(*job);
   by_serial_.erase(job->serial);
   waiting_.erase(job);
   jobs_.erase(id);
@@ -354,7 +359,7 @@
                       job.pending.end());
   NoLongerExpected(job, index);
   t.state = TaskState::kEnding;
-  ++job.done;
+  if (++job.done == job.spec.tasks) DropClaim(job);
   FreeRoom(job, t);
   wants_tick_ = true;
   MarkDirty(job, index, now);
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -237,6 +237,8 @@
     std::string shape;        // see ShapeOf
     Stamp stamp;
     bool cancelled = false;
+    bool within = false;  // its team's guarantee, as of its arrival: ClaimGuarantees
+    Resources claim;      // of its team's guarantee, until it is done
     Instant cancelled_at;
     std::vector<Task> tasks;
     std::uint32_t serial = 0;            // never used again
@@ -428,6 +430,7 @@
   static void HoldIn(Plan& plan, std::size_t slot, Instant start, const Resources& need,
                      std::optional<Instant> end);
   static void AddSlot(Plan& plan, Slot slot);
+  void NoteChangedJobs(Instant now);
   void NoteArrival(Job& job, double tasks, Instant now);
   Instant EndOf(const Job& job, const Task& t, const Machine& m, Instant now) const;
   void PlanJob(Plan& plan, Job& job, Instant now, WallTime wall, int& budget);
@@ -445,6 +448,8 @@
                  std::map<const Slot*, Resources>& taken, Instant now) const;
   bool Guaranteed(const std::string& name, const Resources& use) const;
   bool InGuarantee(const Job& job) const;
+  void ClaimGuarantees(std::vector<Job*> arrived);
+  void DropClaim(Job& job);
   int CountKind(const MachineKind& kind) const;
   void NotePace(Machine& m, const Job& job, Seconds took, bool ended);
   void LearnRunTime(const Machine& m, Job& job, Seconds took);
@@ -489,7 +494,8 @@
   std::unordered_set<MachineId, IdHash> gone_;
   std::deque<MachineId> gone_order_;
   std::map<std::string, Resources> team_use_;
-  std::map<MachineId, Report> early_;  // reports heard while loading
+  std::map<std::string, Resources> team_claims_;  // of their unfinished jobs
+  std::map<MachineId, Report> early_;             // reports heard while loading
   Pages pages_;
   std::unordered_map<std::uint32_t, Job*> by_serial_;
   std::uint32_t last_serial_ = 0;
--- a/tests/growth_test.cc
+++ b/tests/growth_test.cc
@@ -506,6 +506,97 @@
   EXPECT_TRUE(small.Has(T("j-3"))) << "the other may wait for the image";
 }
 
+// A large array that does not fit into its team's guarantee took the room before
+// jobs that do: all tasks counted as guaranteed while their team used little.
+TEST_F(World, JobsWholeWithinAGuaranteeGoBeforeThoseThatAreNot) {
+  Scheduler::Options options = DefaultOptions();
+  options.teams = {{"blue", 8, 0, 0, 0}, {"green", 8, 0, 0, 0}};
+  options.objectives = {{"guarantee", "", {5}, 0.9, 1}};
+  Node& node = nodes_.emplace_back(store, "n0", options);
+  FakeWorker& small = AddWorker("m-1");  // of 4 CPUs: two tasks
+  ASSERT_TRUE(node.TakeOver(now));
+  Settle(node);
+  JobSpec large = MakeJob("j-1", 5);  // 10 CPUs
+  large.team = "blue";
+  large.deadline = Seconds{40};
+  JobSpec fits = MakeJob("j-2", 2);
+  fits.team = "green";
+  fits.deadline = Seconds{1000};
+  Run(node, large);
+  Run(node, fits);
+  Settle(node);
+  EXPECT_TRUE(small.Has(T("j-2", 0)));
+  EXPECT_TRUE(small.Has(T("j-2", 1)));
+}
+
+// What counts are the team's earlier jobs, whatever order they are loaded in: a
+// leader that takes over must not take the later job for the one within.
+TEST_F(World, EarlierJobsOfTheTeamTakeTheGuaranteeAfterATakeoverToo) {
+  Scheduler::Options options = DefaultOptions();
+  options.teams = {{"blue", 4, 0, 0, 0}, {"green", 0, 0, 0, 0}};
+  options.objectives = {{"guarantee", "", {5}, 0.9, 1}};
+  JobSpec early = MakeJob("j-9", 2);
+  early.team = "blue";
+  early.submitted = {wall.v - 10};
+  early.deadline = Seconds{1000};
+  JobSpec late = MakeJob("j-1", 2);
+  late.team = "blue";
+  late.submitted = {wall.v - 5};
+  late.deadline = Seconds{60};
+  FakeWorker& small = AddWorker("m-1");  // for two tasks
+  Scheduler core(options, {});
+  core.SetTypes(Types());
+  core.Start({1}, "r-", now);
+  core.LoadJob(late, false, {1});
+  core.LoadJob(early, false, {2});
+  core.FinishLoad(now);
+  core.OnReport(small.Snapshot(), now);
+  core.Tick(now, wall);
+  const WritePlan plan = core.NextWrite(now);
+  ASSERT_EQ(plan.puts.size(), 1U);
+  ASSERT_EQ(plan.puts.front().records.size(), 2U);
+  for (const PageRecord& r : plan.puts.front().records) EXPECT_EQ(r.job, early.id);
+}
+
+// What a job claims of its team's guarantee must not stay claimed for ever.
+TEST_F(World, AGuaranteeIsFreeAgainOnceItsJobIsDoneOrCancelled) {
+  Scheduler::Options options = DefaultOptions();
+  options.teams = {{"blue", 4, 0, 0, 0}, {"green", 4, 0, 0, 0}};
+  options.objectives = {{"guarantee", "", {5}, 0.9, 1}};
+  Node& node = nodes_.emplace_back(store, "n0", options);
+  FakeWorker& small = AddWorker("m-1");  // for two tasks
+  ASSERT_TRUE(node.TakeOver(now));
+  Settle(node);
+  const auto job = [](const char* id, const char* team, double deadline, int tasks) {
+    JobSpec spec = MakeJob(id, tasks);
+    spec.team = team;
+    spec.deadline = Seconds{deadline};
+    return spec;
+  };
+  for (int round = 0; round < 2; ++round) {
+    const std::string first = "j-" + std::to_string(10 * round);
+    const std::string second = "j-" + std::to_string(10 * round + 1);
+    const std::string other = "j-" + std::to_string(10 * round + 2);
+    Run(node, job(first.c_str(), "blue", 1000, 2));
+    Settle(node);
+    ASSERT_TRUE(small.Has(T(first)));
+    if (round == 0)
+      small.EndAll(EndCause::kDone);
+    else
+      ASSERT_EQ(node.api.Cancel(first).status, 200);
+    node.ReadJobs();
+    Settle(node);
+    Run(node, job(other.c_str(), "green", 40, 5));
+    Run(node, job(second.c_str(), "blue", 1000, 2));
+    Settle(node);
+    EXPECT_TRUE(small.Has(T(second))) << "round " << round;
+    for (int i = 0; i < 4; ++i) {
+      small.EndAll(EndCause::kDone);
+      Settle(node);
+    }
+  }
+}
+
 // On the first mechelen site a 64-CPU machine was rented so that work within a
 // guarantee might start in 5 s, which none that has to boot can.
 TEST_F(World, NothingIsRentedForAGuaranteeThatNoBootCanMeet) {
