Core of the worker agent: the worker's side of the protocol as a state machine

Need: what runs tasks is so far somebody else's; the agent's pure core comes first, so that its rules can be told in stories without sockets or processes. What was killed at the end of a lease keeps its name and room until it is certainly dead.

--- /dev/null
+++ b/src/agent/worker.cc
@@ -0,0 +1,351 @@
+#include "agent/worker.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace magpie::agent {
+namespace {
+constexpr Seconds kLeastGap{0.5};      // between two reports
+constexpr Seconds kNextNode{1};        // before another node is tried
+constexpr Seconds kMostRedirect{0.5};  // before the node that was named is asked
+constexpr double kReportSpread = 0.25;
+}  // namespace
+
+Worker::Worker(Options options, Memory memory, std::function<double()> dice, Instant now)
+    : options_(std::move(options)),
+      dice_(std::move(dice)),
+      // What ran before a restart and is not adopted was of another session.
+      session_(memory.session + 1),
+      seq_(memory.seq),
+      token_(memory.token),
+      done_(std::move(memory.done)),
+      due_(now),
+      not_before_(now),
+      lease_from_(now) {}
+
+Report Worker::MakeReport() {
+  Report r;
+  r.machine = options_.machine;
+  r.addr = options_.addr;
+  r.type = options_.type;
+  r.zone = options_.zone;
+  r.spot = options_.spot;
+  r.session = session_;
+  r.seq = ++seq_;
+  r.token = token_;
+  r.notice = notice_;
+  for (const auto& [key, run] : runs_) {
+    TaskReport t{key.first, key.second, TaskMood::kFetching, run.cause, run.saved};
+    if (run.step == Step::kRunning || run.step == Step::kEnding) t.mood = TaskMood::kRunning;
+    if (run.step == Step::kSaving || (run.step == Step::kEnding && run.saving))
+      t.mood = TaskMood::kSaving;
+    if (run.step == Step::kEnded) t.mood = TaskMood::kEnded;
+    r.tasks.push_back(std::move(t));
+  }
+  return r;
+}
+
+std::optional<Worker::Outgoing> Worker::NextReport(Instant now) {
+  Tick(now);
+  if (sending_ || now < not_before_ || (now < due_ && !changed_)) return std::nullopt;
+  sending_ = true;
+  changed_ = false;
+  sent_ = now;
+  sent_session_ = session_;
+  not_before_ = now + kLeastGap;
+  due_ = now + (1 - kReportSpread + 2 * kReportSpread * dice_()) * options_.report;
+  return Outgoing{options_.nodes[node_], MakeReport()};
+}
+
+Instant Worker::Wake() const {
+  const Instant lease = lease_from_ + options_.lease;
+  if (sending_) return lease;
+  return std::min(lease, std::max(not_before_, changed_ ? not_before_ : due_));
+}
+
+void Worker::OnAnswer(const Answer& answer, Instant now) {
+  Tick(now);
+  sending_ = false;
+  if (answer.kind == Answer::Kind::kFailed) {
+    TryNext(now);
+    return;
+  }
+  if (answer.kind == Answer::Kind::kElsewhere) {
+    const auto& nodes = options_.nodes;
+    const auto home =
+        answer.home ? std::find(nodes.begin(), nodes.end(), *answer.home) : nodes.end();
+    if (home == nodes.end() || home - nodes.begin() == static_cast<std::ptrdiff_t>(node_)) {
+      TryNext(now);
+      return;
+    }
+    node_ = static_cast<std::size_t>(home - nodes.begin());
+    due_ = now + dice_() * kMostRedirect;
+    not_before_ = std::max(not_before_, due_);
+    return;
+  }
+  // Of an earlier session, or from a node that is not entitled: dropped whole. The
+  // worker stays there while its lease runs out.
+  if (sent_session_ != session_ || !answer.token || *answer.token < token_) return;
+  See(*answer.token, now);
+  lease_from_ = sent_;
+  Execute(answer.commands);
+}
+
+void Worker::TryNext(Instant now) {
+  node_ = (node_ + 1) % options_.nodes.size();
+  due_ = now + kNextNode;
+  not_before_ = due_;
+}
+
+void Worker::See(Token token, Instant now) {
+  if (token <= token_) return;
+  token_ = token;
+  // A change, but not each time: nodes that contend for the lead would have all
+  // workers report without pause.
+  if (token_told_ && now - *token_told_ < 0.5 * options_.lease) return;
+  token_told_ = now;
+  Change();
+}
+
+DirectAnswer Worker::OnDirect(std::optional<Token> token, std::optional<std::uint64_t> session,
+                              const std::vector<Command>& commands, Instant now) {
+  Tick(now);
+  if (!token || !session) return {400, MakeReport()};
+  if (*token < token_ || *session != session_) return {409, MakeReport()};
+  See(*token, now);
+  Execute(commands);
+  return {200, MakeReport()};
+}
+
+Report Worker::Inspect() { return MakeReport(); }
+
+void Worker::Tick(Instant now) {
+  if (now - lease_from_ > options_.lease) LeaseEnds(now);
+}
+
+// All tasks are killed and forgotten; but their room and names are free only once
+// they are certainly dead.
+void Worker::LeaseEnds(Instant now) {
+  for (auto& [key, run] : runs_) {
+    if (run.step == Step::kRunning || run.step == Step::kSaving) Ask(Effect::Kind::kKill, key);
+    if (run.step == Step::kRunning || run.step == Step::kSaving || run.step == Step::kEnding)
+      dying_.emplace(key, run);
+  }
+  const std::map<Key, Run> left = std::exchange(runs_, {});
+  for (const auto& [key, run] : left)
+    if (run.step == Step::kFetching) GiveUpUnwanted(run.job.image);
+  ++session_;
+  lease_from_ = now;
+  Change();
+}
+
+void Worker::OnNotice(std::optional<Seconds> left) {
+  if (left.has_value() != notice_.has_value()) Change();
+  notice_ = left;
+}
+
+void Worker::Execute(const std::vector<Command>& commands) {
+  for (const Command& c : commands) {
+    if (c.kind == CommandKind::kRun) Begin(c);
+    if (c.kind == CommandKind::kStop) Stop(c);
+    if (c.kind == CommandKind::kForget) Forget(c);
+  }
+}
+
+void Worker::Begin(const Command& c) {
+  const Key key{c.task, c.attempt};
+  if (runs_.contains(key)) return;  // in whatever state
+  const auto same = [&](const auto& entry) {
+    const bool refused = entry.second.cause == EndCause::kNoRoom ||
+                         entry.second.cause == EndCause::kBusy ||
+                         entry.second.cause == EndCause::kUnknown;
+    return entry.first.first == c.task && !refused;
+  };
+  const bool busy = std::any_of(runs_.begin(), runs_.end(), same) ||
+                    std::any_of(dying_.begin(), dying_.end(), same);
+  Run& run = runs_[key];
+  Change();
+  if (busy) {
+    End(run, EndCause::kBusy);
+    return;
+  }
+  Ask(Effect::Kind::kDescribe, key);
+}
+
+void Worker::OnDescription(const JobId& job, const std::optional<Description>& description) {
+  for (auto& [key, run] : runs_) {
+    if (key.first.job != job || run.step != Step::kBegun) continue;
+    Change();
+    if (!description) {
+      End(run, EndCause::kUnknown);
+    } else if (!HasRoomFor(description->each)) {
+      End(run, EndCause::kNoRoom);
+    } else {
+      run.job = *description;
+      run.step = Step::kFetching;
+      WantImage(run.job);
+      if (images_[run.job.image].here) Launch(key, run);
+    }
+  }
+}
+
+bool Worker::HasRoomFor(const Resources& each) const {
+  Resources room = options_.room;
+  for (const auto* some : {&runs_, &dying_})
+    for (const auto& [key, run] : *some)
+      if (run.step != Step::kEnded) room -= run.job.each;
+  return each.Fits(room);
+}
+
+// One fetch serves all who wait.
+void Worker::WantImage(const Description& job) {
+  const auto [it, fresh] = images_.try_emplace(job.image);
+  it->second.used = ++asked_;
+  if (!fresh) return;
+  if (job.image.empty()) {  // it needs none
+    it->second.here = true;
+    return;
+  }
+  it->second.gb = job.image_gb;
+  MakeCacheRoom();
+  effects_.push_back({Effect::Kind::kFetch, {}, {}, job.image});
+}
+
+bool Worker::InUse(const std::string& image) const {
+  const auto uses = [&](const auto& entry) {
+    return entry.second.job.image == image && entry.second.step != Step::kEnded &&
+           entry.second.step != Step::kBegun;
+  };
+  return std::any_of(runs_.begin(), runs_.end(), uses) ||
+         std::any_of(dying_.begin(), dying_.end(), uses);
+}
+
+// The least recently used ones that nobody uses make room. If all are in use the
+// cache overruns: tasks that fit the machine are not refused for it.
+void Worker::MakeCacheRoom() {
+  double all = 0;
+  for (const auto& [name, image] : images_) all += image.gb;
+  while (all > options_.cache_gb) {
+    auto least = images_.end();
+    for (auto it = images_.begin(); it != images_.end(); ++it)
+      if (it->second.here && !InUse(it->first) &&
+          (least == images_.end() || it->second.used < least->second.used))
+        least = it;
+    if (least == images_.end()) return;
+    all -= least->second.gb;
+    effects_.push_back({Effect::Kind::kDropImage, {}, {}, least->first});
+    images_.erase(least);
+  }
+}
+
+void Worker::GiveUpUnwanted(const std::string& image) {
+  const auto it = images_.find(image);
+  if (it == images_.end() || it->second.here || InUse(image)) return;
+  effects_.push_back({Effect::Kind::kGiveUp, {}, {}, image});
+  images_.erase(it);
+}
+
+void Worker::OnImage(const std::string& image, bool fetched) {
+  const auto it = images_.find(image);
+  if (it == images_.end() || it->second.here) return;  // it was given up meanwhile
+  if (fetched)
+    it->second.here = true;
+  else
+    images_.erase(it);
+  for (auto& [key, run] : runs_) {
+    if (run.step != Step::kFetching || run.job.image != image) continue;
+    if (fetched)
+      Launch(key, run);
+    else
+      End(run, EndCause::kError);
+  }
+}
+
+void Worker::Launch(const Key& key, Run& run) {
+  if (done_.contains(key.first)) {  // its result is kept
+    End(run, EndCause::kDone);
+    return;
+  }
+  run.step = Step::kRunning;
+  Ask(Effect::Kind::kStart, key);
+  Change();
+}
+
+void Worker::Stop(const Command& c) {
+  const auto it = runs_.find({c.task, c.attempt});
+  if (it == runs_.end()) return;
+  Run& run = it->second;
+  switch (run.step) {
+    case Step::kBegun:
+      End(run, EndCause::kStopped);
+      break;
+    case Step::kFetching:
+      End(run, EndCause::kStopped);
+      GiveUpUnwanted(run.job.image);
+      break;
+    case Step::kRunning:
+      if (run.job.checkpoint.v > 0 && c.grace >= run.job.save) {
+        run.step = Step::kSaving;
+        run.saving = true;
+        Ask(Effect::Kind::kSave, it->first);
+        Change();
+        break;
+      }
+      run.step = Step::kEnding;
+      Ask(Effect::Kind::kKill, it->first);
+      break;
+    case Step::kSaving:
+      if (c.grace.v > 0) break;
+      run.step = Step::kEnding;
+      Ask(Effect::Kind::kKill, it->first);
+      break;
+    case Step::kEnding:
+    case Step::kEnded:
+      break;
+  }
+}
+
+void Worker::Forget(const Command& c) {
+  const auto it = runs_.find({c.task, c.attempt});
+  if (it == runs_.end() || it->second.step != Step::kEnded) return;
+  Ask(Effect::Kind::kDiscard, it->first);
+  runs_.erase(it);
+  Change();
+}
+
+// Told only when the process is certainly dead: only then may its task run elsewhere.
+void Worker::OnExit(const TaskId& task, Attempt attempt, Outcome outcome) {
+  if (outcome == Outcome::kDone) done_.insert(task);
+  const Key key{task, attempt};
+  if (dying_.erase(key) > 0) return;
+  const auto it = runs_.find(key);
+  if (it == runs_.end()) return;
+  Run& run = it->second;
+  if (run.step != Step::kRunning && run.step != Step::kSaving && run.step != Step::kEnding) return;
+  const bool told = run.step != Step::kRunning;
+  switch (outcome) {
+    case Outcome::kDone:  // even when it was told to stop: the result is there
+      End(run, EndCause::kDone);
+      break;
+    case Outcome::kSaved:
+      End(run, told ? EndCause::kStopped : EndCause::kError, told);
+      break;
+    case Outcome::kKilled:
+    case Outcome::kFailed:
+      End(run, told ? EndCause::kStopped : EndCause::kError);
+      break;
+  }
+}
+
+void Worker::End(Run& run, EndCause cause, bool saved) {
+  run.step = Step::kEnded;
+  run.cause = cause;
+  run.saved = saved;
+  Change();
+}
+
+void Worker::Ask(Effect::Kind kind, const Key& key) {
+  effects_.push_back({kind, key.first, key.second, {}});
+}
+
+}  // namespace magpie::agent
