--- /dev/null
+++ b/src/agent/journal.cc
@@ -0,0 +1,180 @@
+#include "agent/journal.h"
+
+#include <sqlite3.h>
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+namespace magpie::agent {
+namespace {
+constexpr std::uint64_t kVersion = 1;
+constexpr std::uint64_t kApplication = 0x6d616770;  // "magp"
+
+JournalError::Kind KindOf(int code) {
+  switch (code & 0xff) {
+    case SQLITE_CORRUPT:
+    case SQLITE_NOTADB:
+    case SQLITE_FORMAT:
+    case SQLITE_MISMATCH:
+      return JournalError::Kind::kDamaged;
+    case SQLITE_FULL:
+      return JournalError::Kind::kFull;
+    default:
+      return JournalError::Kind::kOther;
+  }
+}
+}  // namespace
+
+void Journal::Closer::operator()(sqlite3* db) const { sqlite3_close_v2(db); }
+
+// One prepared statement, run once.
+class Journal::Statement {
+ public:
+  Statement(Journal& journal, const char* sql) : journal_(journal) {
+    if (sqlite3_prepare_v2(journal.db_.get(), sql, -1, &statement_, nullptr) != SQLITE_OK)
+      journal.Fail(sql);
+  }
+  ~Statement() { sqlite3_finalize(statement_); }
+  Statement(const Statement&) = delete;
+  Statement& operator=(const Statement&) = delete;
+
+  Statement& Bind(int at, std::uint64_t value) {
+    if (sqlite3_bind_int64(statement_, at, static_cast<std::int64_t>(value)) != SQLITE_OK)
+      journal_.Fail("bind");
+    return *this;
+  }
+  Statement& Bind(int at, const std::string& value) {
+    if (sqlite3_bind_text(statement_, at, value.data(), static_cast<int>(value.size()),
+                          SQLITE_TRANSIENT) != SQLITE_OK)
+      journal_.Fail("bind");
+    return *this;
+  }
+  // Whether there is another row.
+  bool Step() {
+    const int code = sqlite3_step(statement_);
+    if (code != SQLITE_ROW && code != SQLITE_DONE) journal_.Fail(sqlite3_sql(statement_));
+    return code == SQLITE_ROW;
+  }
+  std::uint64_t Number(int column) {
+    return static_cast<std::uint64_t>(sqlite3_column_int64(statement_, column));
+  }
+  std::string Text(int column) {
+    const auto* text = reinterpret_cast<const char*>(sqlite3_column_text(statement_, column));
+    return text == nullptr ? "" : text;
+  }
+
+ private:
+  Journal& journal_;
+  sqlite3_stmt* statement_ = nullptr;
+};
+
+Journal::Journal(Options options) : options_(std::move(options)) {
+  sqlite3* db = nullptr;
+  const int code = sqlite3_open_v2(options_.path.c_str(), &db,
+                                   SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE, nullptr);
+  db_.reset(db);
+  if (code != SQLITE_OK) Fail("open");
+  Run("PRAGMA journal_mode = WAL");
+  Run("PRAGMA synchronous = FULL");
+  const std::string bound = "PRAGMA max_page_count = " + std::to_string(options_.most_pages);
+  Run(bound.c_str());
+  if (Number("SELECT count(*) FROM sqlite_schema") == 0)
+    Begin();
+  else
+    Check();
+}
+
+Journal::~Journal() = default;
+
+void Journal::Begin() {
+  const std::string sql =
+      "BEGIN IMMEDIATE;"
+      "CREATE TABLE worker (one INTEGER PRIMARY KEY CHECK (one = 1), session INTEGER NOT NULL,"
+      " reserved INTEGER NOT NULL, token INTEGER NOT NULL) STRICT;"
+      "INSERT INTO worker VALUES (1, 0, 0, 0);"
+      "CREATE TABLE done (job TEXT NOT NULL, task INTEGER NOT NULL, PRIMARY KEY (job, task))"
+      " STRICT, WITHOUT ROWID;"
+      "PRAGMA application_id = " +
+      std::to_string(kApplication) + ";PRAGMA user_version = " + std::to_string(kVersion) +
+      ";COMMIT";
+  Run(sql.c_str());
+}
+
+void Journal::Check() {
+  const auto damaged = [this](const std::string& what) {
+    throw JournalError(JournalError::Kind::kDamaged, options_.path + ": " + what);
+  };
+  if (Number("PRAGMA application_id") != kApplication) damaged("not a journal of an agent");
+  const std::uint64_t version = Number("PRAGMA user_version");
+  if (version > kVersion)
+    throw JournalError(JournalError::Kind::kNewer,
+                       options_.path + ": of version " + std::to_string(version) +
+                           ", this agent knows up to " + std::to_string(kVersion));
+  Statement check(*this, "PRAGMA integrity_check(1)");
+  if (!check.Step() || check.Text(0) != "ok") damaged("its pages do not hold together");
+  if (Number("SELECT count(*) FROM worker") != 1) damaged("the worker's row is gone");
+}
+
+Worker::Memory Journal::Load() {
+  Worker::Memory memory;
+  {
+    Statement row(*this, "SELECT session, reserved, token FROM worker");
+    if (!row.Step()) Fail("load");
+    memory.session = session_ = row.Number(0);
+    memory.seq = reserved_ = row.Number(1);
+    memory.token = token_ = Token{row.Number(2)};
+  }
+  Statement done(*this, "SELECT job, task FROM done");
+  while (done.Step())
+    memory.done.insert({{done.Text(0)}, static_cast<std::uint32_t>(done.Number(1))});
+  return memory;
+}
+
+// Nothing goes back, whatever is asked: two agents by mistake with one journal would
+// otherwise undo what the other one has told.
+void Journal::Keep(std::uint64_t session, std::uint64_t seq, Token token) {
+  if (session <= session_ && seq <= reserved_ && token <= token_) return;
+  const std::uint64_t reserve =
+      seq <= reserved_ ? reserved_ : std::max(seq, reserved_) + options_.seq_step;
+  Statement update(*this,
+                   "UPDATE worker SET session = max(session, ?1), reserved = max(reserved, ?2),"
+                   " token = max(token, ?3)");
+  update.Bind(1, session).Bind(2, reserve).Bind(3, token.v).Step();
+  session_ = std::max(session_, session);
+  reserved_ = reserve;
+  token_ = std::max(token_, token);
+}
+
+void Journal::KeepDone(const TaskId& task) {
+  Statement insert(*this, "INSERT OR IGNORE INTO done VALUES (?1, ?2)");
+  insert.Bind(1, task.job.v).Bind(2, task.index).Step();
+}
+
+void Journal::DropJob(const JobId& job) {
+  Statement drop(*this, "DELETE FROM done WHERE job = ?1");
+  drop.Bind(1, job.v).Step();
+}
+
+void Journal::Run(const char* sql) {
+  if (sqlite3_exec(db_.get(), sql, nullptr, nullptr, nullptr) != SQLITE_OK) {
+    const int code = sqlite3_extended_errcode(db_.get());
+    const std::string text = sqlite3_errmsg(db_.get());
+    if (sqlite3_get_autocommit(db_.get()) == 0)
+      sqlite3_exec(db_.get(), "ROLLBACK", nullptr, nullptr, nullptr);
+    throw JournalError(KindOf(code), options_.path + ": " + text);
+  }
+}
+
+std::uint64_t Journal::Number(const char* sql) {
+  Statement statement(*this, sql);
+  return statement.Step() ? statement.Number(0) : 0;
+}
+
+void Journal::Fail(const char* doing) {
+  const int code = db_ == nullptr ? SQLITE_NOMEM : sqlite3_extended_errcode(db_.get());
+  const std::string text = db_ == nullptr ? "no memory" : sqlite3_errmsg(db_.get());
+  throw JournalError(KindOf(code), options_.path + ": " + text + " (" + doing + ")");
+}
+
+}  // namespace magpie::agent
