One place each for taking a machine, a job's due times, and heaps of places

Cause: read once more, the change had written things twice. Loading a page undid and made a binding beside Bind and Unbind (TakeMachine and LeaveMachine serve all three); due times were reckoned three times for each planned job (now once, with both targets, in the order that is made anyway); a shelf's two heaps had a copy of each step; the benchmark had the stories' job; due probes were sorted twice.

--- a/bench/fleet_of.cc
+++ b/bench/fleet_of.cc
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <utility>
 
+#include "made_job.h"
+
 namespace magpie::bench {
 namespace {
 
@@ -52,14 +54,7 @@
 }
 
 JobSpec FleetOf::Spec(const std::string& id, std::uint32_t tasks) const {
-  JobSpec s;
-  s.id = {id};
-  s.job_class = "sums";
-  s.team = "red";
-  s.tasks = tasks;
-  s.each = {2, 0, 4};
-  s.image = "img-1";
-  s.image_gb = 1;
+  JobSpec s = testing::MakeJob(id, tasks);
   s.estimate = {1e6};
   s.deadline = Seconds{1e7};
   return s;
--- a/src/agent/journal.cc
+++ b/src/agent/journal.cc
@@ -3,7 +3,6 @@
 #include <sqlite3.h>
 
 #include <algorithm>
-#include <string_view>
 #include <utility>
 
 namespace magpie::agent {
@@ -135,8 +134,7 @@
 // otherwise undo what the other one has told.
 void Journal::Keep(std::uint64_t session, std::uint64_t seq, Token token) {
   if (session <= session_ && seq <= reserved_ && token <= token_) return;
-  const std::uint64_t reserve =
-      seq <= reserved_ ? reserved_ : std::max(seq, reserved_) + options_.seq_step;
+  const std::uint64_t reserve = seq <= reserved_ ? reserved_ : seq + options_.seq_step;
   Statement update(*this,
                    "UPDATE worker SET session = max(session, ?1), reserved = max(reserved, ?2),"
                    " token = max(token, ?3)");
@@ -157,13 +155,7 @@
 }
 
 void Journal::Run(const char* sql) {
-  if (sqlite3_exec(db_.get(), sql, nullptr, nullptr, nullptr) != SQLITE_OK) {
-    const int code = sqlite3_extended_errcode(db_.get());
-    const std::string text = sqlite3_errmsg(db_.get());
-    if (sqlite3_get_autocommit(db_.get()) == 0)
-      sqlite3_exec(db_.get(), "ROLLBACK", nullptr, nullptr, nullptr);
-    throw JournalError(KindOf(code), options_.path + ": " + text);
-  }
+  if (sqlite3_exec(db_.get(), sql, nullptr, nullptr, nullptr) != SQLITE_OK) Fail("set up");
 }
 
 std::uint64_t Journal::Number(const char* sql) {
--- a/src/agent/journal.h
+++ b/src/agent/journal.h
@@ -62,6 +62,7 @@
     void operator()(sqlite3* db) const;
   };
   class Statement;
+  // While it is opened: closing it takes back what was begun.
   void Run(const char* sql);
   std::uint64_t Number(const char* sql);
   void Begin();
--- a/src/agent/worker.cc
+++ b/src/agent/worker.cc
@@ -60,7 +60,7 @@
 Instant Worker::Wake() const {
   const Instant lease = lease_from_ + options_.lease;
   if (sending_) return lease;
-  return std::min(lease, std::max(not_before_, changed_ ? not_before_ : due_));
+  return std::min(lease, changed_ ? not_before_ : std::max(not_before_, due_));
 }
 
 void Worker::OnAnswer(const Answer& answer, Instant now) {
--- a/src/core/dialogue.cc
+++ b/src/core/dialogue.cc
@@ -307,7 +307,6 @@
     std::sort(due.begin(), due.end());
     due.erase(std::unique(due.begin(), due.end()), due.end());
     const std::size_t most = std::min(due.size(), most_at_once);
-    std::partial_sort(due.begin(), due.begin() + static_cast<std::ptrdiff_t>(most), due.end());
     for (std::size_t i = 0; i < most; ++i) probe_queue_.push_back(std::get<2>(due[i])->id);
   }
   return probe_queue_.size();
--- a/src/core/pages.h
+++ b/src/core/pages.h
@@ -55,7 +55,6 @@
   // A page without live records that is not worth keeping, if there is one.
   std::optional<Id> Needless() const;
   void Dropped(Id page);
-  std::size_t size() const { return pages_.size(); }
 
  private:
   static constexpr std::size_t kSpare = 4;  // empty shared pages kept to be written
--- a/src/core/planning.cc
+++ b/src/core/planning.cc
@@ -45,6 +45,14 @@
   return false;
 }
 
+// The same for a job's team with one more of its tasks.
+bool Scheduler::InGuarantee(const Job& job) const {
+  auto it = team_use_.find(job.spec.team);
+  Resources use = it == team_use_.end() ? Resources{} : it->second;
+  use += job.spec.each;
+  return Guaranteed(job.spec.team, use);
+}
+
 // Which jobs lie within their team's guarantee whole, along with the team's earlier
 // unfinished jobs: PROTOCOL's words, "How aims are counted". By the use of the moment
 // alone, the tasks of jobs that do not fit took the room of those that do. Each claims
@@ -65,23 +73,12 @@
 }
 
 // The job is done, cancelled or gone.
-void Scheduler::DropClaim(Job& job) {
-  if (job.claim.cpus > 0 || job.claim.gpus > 0 || job.claim.memory_gb > 0)
-    team_claims_[job.spec.team] -= std::exchange(job.claim, {});
-}
-
-// The same for a job's team with one more of its tasks.
-bool Scheduler::InGuarantee(const Job& job) const {
-  auto it = team_use_.find(job.spec.team);
-  Resources use = it == team_use_.end() ? Resources{} : it->second;
-  use += job.spec.each;
-  return Guaranteed(job.spec.team, use);
-}
+void Scheduler::DropClaim(Job& job) { team_claims_[job.spec.team] -= std::exchange(job.claim, {}); }
 
 // How long from now until the job's present tasks should be done: its deadline
 // and what the objectives say of its class, the tightest of them that has not
 // passed yet.
-Scheduler::Due Scheduler::DueOf(const Job& job, WallTime wall, bool with_guarantee) const {
+Scheduler::Due Scheduler::DueOf(const Job& job, WallTime wall) const {
   // Work that is overdue by far is not put off any longer.
   constexpr double kForgotten = 5;
   const Seconds age = wall - job.spec.submitted;
@@ -92,31 +89,41 @@
   if (largest != nullptr) longest = table_.Expect(job.spec, largest->name).v;
   // When the work should be done, and until when that is possible for certain:
   // estimates of run times are too often wrong to give anything up for.
-  std::vector<std::pair<double, double>> targets;
+  using Targets = std::vector<std::pair<double, double>>;
+  Targets targets;
+  Targets guarantees;
   if (job.spec.deadline) targets.emplace_back(job.spec.deadline->v, job.spec.deadline->v);
   for (const Objective& o : options_.objectives) {
     // A job within its team's guarantee is to start soon, whatever its class.
-    if (o.kind == "guarantee" && with_guarantee && job.within)
-      targets.emplace_back(o.within.v + longest, o.within.v);
+    if (o.kind == "guarantee" && job.within)
+      guarantees.emplace_back(o.within.v + longest, o.within.v);
     if (o.job_class != job.spec.job_class) continue;
     if (o.kind == "finished") targets.emplace_back(o.within.v, o.within.v);
     if (o.kind == "wait") targets.emplace_back(o.within.v + longest, o.within.v);
     if (o.kind == "deadline" && job.spec.deadline && o.times > 1)
       targets.emplace_back(o.times * job.spec.deadline->v, o.times * job.spec.deadline->v);
   }
-  if (targets.empty()) {
-    const double target = options_.weights.target_factor * longest;
-    targets.emplace_back(target, target);
-  }
-  std::sort(targets.begin(), targets.end());
-  Due due{{targets.front().first - age.v}, false};
-  if (job.spec.kind == JobKind::kService) return due;
-  for (const auto& [target, until] : targets) {
-    due.target = {target - age.v};
-    if (age.v <= until) return due;
-  }
-  due.late = age.v < kForgotten * targets.back().first;
-  return due;
+  const auto tightest = [&](Targets all) {
+    if (all.empty()) {
+      const double target = options_.weights.target_factor * longest;
+      all.emplace_back(target, target);
+    }
+    std::sort(all.begin(), all.end());
+    Due due{{all.front().first - age.v}, {}, false};
+    if (job.spec.kind == JobKind::kService) return due;
+    for (const auto& [target, until] : all) {
+      due.target = {target - age.v};
+      if (age.v <= until) return due;
+    }
+    due.late = age.v < kForgotten * all.back().first;
+    return due;
+  };
+  Due due = tightest(targets);
+  due.rent_target = due.target;
+  if (guarantees.empty()) return due;
+  guarantees.insert(guarantees.end(), targets.begin(), targets.end());
+  const Due with = tightest(std::move(guarantees));
+  return {with.target, due.rent_target, with.late};
 }
 
 // Lower ranks first: production and jobs that lie within a guarantee whole, then
@@ -128,8 +135,8 @@
 
 // Within a rank, work that can still be in time goes before work that is late:
 // under a load that is too much, each late job would else make the next one late.
-std::vector<Scheduler::Job*> Scheduler::Ordered(WallTime wall) {
-  std::vector<std::tuple<std::pair<int, int>, bool, double, const std::string*, Job*>> keyed;
+std::vector<Scheduler::Waiting> Scheduler::Ordered(WallTime wall) {
+  std::vector<std::pair<std::pair<int, int>, Waiting>> keyed;  // by rank
   for (auto it = waiting_.begin(); it != waiting_.end();) {
     Job* job = *it;
     if (job->pending.empty() || job->cancelled) {
@@ -137,17 +144,18 @@
       continue;
     }
     ++it;
-    const Due due = DueOf(*job, wall);
-    keyed.emplace_back(RankOf(*job), due.late, due.target.v, &job->spec.id.v, job);
+    keyed.emplace_back(RankOf(*job), Waiting{job, DueOf(*job, wall)});
   }
   std::sort(keyed.begin(), keyed.end(), [](const auto& a, const auto& b) {
-    return std::tie(std::get<0>(a), std::get<1>(a), std::get<2>(a), *std::get<3>(a)) <
-           std::tie(std::get<0>(b), std::get<1>(b), std::get<2>(b), *std::get<3>(b));
+    const Due& x = a.second.due;
+    const Due& y = b.second.due;
+    return std::tie(a.first, x.late, x.target, a.second.job->spec.id) <
+           std::tie(b.first, y.late, y.target, b.second.job->spec.id);
   });
-  std::vector<Job*> jobs;
-  jobs.reserve(keyed.size());
-  for (auto& k : keyed) jobs.push_back(std::get<4>(k));
-  return jobs;
+  std::vector<Waiting> waiting;
+  waiting.reserve(keyed.size());
+  for (const auto& [rank, job] : keyed) waiting.push_back(job);
+  return waiting;
 }
 
 // The job's expected run time on a kind of machine. The table is asked once for
@@ -232,7 +240,7 @@
   if (before && !Open(plan, s)) --plan.open;
 }
 
-Scheduler::Plan Scheduler::StartPlan(Instant now, const std::vector<Job*>& waiting) {
+Scheduler::Plan Scheduler::StartPlan(Instant now, const std::vector<Waiting>& waiting) {
   constexpr double kBootLate = 2.5;  // then another machine is rented instead
   constexpr Seconds kFullEvery{1};
   Plan plan;
@@ -241,8 +249,8 @@
   plan.full = plan.may_rent || now >= full_next_;
   if (plan.full) full_next_ = now + kFullEvery;
   if (plan.may_rent) touched_ = false;
-  if (!waiting.empty()) plan.least = waiting.front()->spec.each;
-  for (const Job* job : waiting) {
+  if (!waiting.empty()) plan.least = waiting.front().job->spec.each;
+  for (const auto& [job, due] : waiting) {
     const Resources& each = job->spec.each;
     plan.least = {std::min(plan.least.cpus, each.cpus), std::min(plan.least.gpus, each.gpus),
                   std::min(plan.least.memory_gb, each.memory_gb)};
@@ -286,7 +294,6 @@
   }
   for (std::size_t k = 0; k < have.size(); ++k)
     if (have[k] > 0) plan.have[kinds_[k].kind] = have[k];
-  plan.changed.clear();  // nobody has looked at them yet
   return plan;
 }
 
@@ -440,26 +447,26 @@
     for (; shelf_.seen < plan_.changed.size(); ++shelf_.seen) {
       const std::size_t i = plan_.changed[shelf_.seen];
       Shelf::Kind& there = shelf_.Of(plan_.slots[i].kind);
-      if (there.has_now) PutNow(there, i);
-      if (there.has_later) PutLater(there, i);
+      if (there.now.filled) PutNow(there.now, i);
+      if (there.later.filled) PutLater(there.later, i);
     }
     if (known_ == plan_.by_kind.size()) return;  // else a kind is new to the plan
     for (std::size_t kind = known_; kind < plan_.by_kind.size(); ++kind) Allow(kind);
     SortKinds();
   }
 
-  void PutNow(Shelf::Kind& there, std::size_t i) {
+  void PutNow(Shelf::Heap& heap, std::size_t i) {
     const Slot& slot = plan_.slots[i];
     ++s_.places_looked_at_;
     if (!slot.now || !shelf_.each().Fits(slot.lane.room())) return;
     const auto start = slot.lane.Earliest(shelf_.each());
-    if (start && *start <= now_) there.Now(PlaceOf(i, *start));
+    if (start && *start <= now_) heap.Put(PlaceOf(i, *start));
   }
 
-  void PutLater(Shelf::Kind& there, std::size_t i) {
+  void PutLater(Shelf::Heap& heap, std::size_t i) {
     ++s_.places_looked_at_;
     const auto start = plan_.slots[i].lane.Earliest(shelf_.each());
-    if (start) there.Later(PlaceOf(i, *start));
+    if (start) heap.Put(PlaceOf(i, *start));
   }
 
   Shelf::Place PlaceOf(std::size_t i, Instant start) const {
@@ -491,10 +498,10 @@
     for (const Allowed& kind : kinds_) {
       if (best != nullptr && std::tie(best->dear, best->size) < std::tie(kind.dear, kind.size))
         break;
-      Shelf::Kind& places = shelf_.Of(kind.kind);
-      if (!std::exchange(places.has_now, true))
-        for (const std::size_t i : plan_.by_kind[kind.kind]) PutNow(places, i);
-      const auto top = places.BestNow(plan_.versions);
+      Shelf::Heap& heap = shelf_.Of(kind.kind).now;
+      if (!std::exchange(heap.filled, true))
+        for (const std::size_t i : plan_.by_kind[kind.kind]) PutNow(heap, i);
+      const auto top = heap.Best(plan_.versions);
       if (!top || (best != nullptr && !(*top < there))) continue;
       if (Slack(target_, ChoiceOf(kind, *top, true), s_.options_.weights).v < 0 || !Open(kind))
         continue;
@@ -510,10 +517,10 @@
     Shelf::Place there;
     Seconds soonest;
     for (const Allowed& kind : kinds_) {
-      Shelf::Kind& places = shelf_.Of(kind.kind);
-      if (!std::exchange(places.has_later, true))
-        for (const std::size_t i : plan_.by_kind[kind.kind]) PutLater(places, i);
-      const auto top = places.BestLater(plan_.versions);
+      Shelf::Heap& heap = shelf_.Of(kind.kind).later;
+      if (!std::exchange(heap.filled, true))
+        for (const std::size_t i : plan_.by_kind[kind.kind]) PutLater(heap, i);
+      const auto top = heap.Best(plan_.versions);
       if (!top) continue;
       const Seconds end = top->wait + s_.RunOn(job_, kind.kind);
       if (best != nullptr && std::tie(soonest, best->dear, best->size, there.spare) <=
@@ -541,24 +548,21 @@
 // Finds places for the job's tasks: binds them, or lets them hold room on the
 // machines that finish them soonest, or plans machines for them. At most
 // `budget` tasks are looked at.
-void Scheduler::PlanJob(Plan& plan, Job& job, Instant now, WallTime wall, int& budget) {
+void Scheduler::PlanJob(Plan& plan, Job& job, const Due& due, Instant now, int& budget) {
   ++jobs_planned_;
-  const Seconds target = DueOf(job, wall).target;
-  // No machine boots within a guarantee's seconds: it is not rented for them.
-  const Seconds rent_target = DueOf(job, wall, false).target;
   const bool service = job.spec.kind == JobKind::kService;
   std::uint32_t* alike = plan.may_rent ? &plan.alike[job.shape] : nullptr;
-  Places places(*this, plan, job, target, now);
+  Places places(*this, plan, job, due.target, now);
   std::size_t waiting = 0;
   while (job.pending.size() > waiting && budget > 0 && WithinLimit(job, plan.use)) {
     --budget;
     if (alike != nullptr && *alike > 0) --*alike;
     const auto pick = places.Pick();
-    const bool in_time = pick && Slack(target, pick->choice, options_.weights).v >= 0;
+    const bool in_time = pick && Slack(due.target, pick->choice, options_.weights).v >= 0;
     const bool at_once = pick && pick->choice.now;
-    const bool late = !pick || Slack(rent_target, pick->choice, options_.weights).v < 0;
+    const bool late = !pick || Slack(due.rent_target, pick->choice, options_.weights).v < 0;
     if (late && plan.may_rent && !at_once) {
-      if (PlanRental(plan, job, rent_target, now,
+      if (PlanRental(plan, job, due.rent_target, now,
                      pick ? std::optional(pick->choice.wait + pick->choice.run) : std::nullopt)) {
         plan.use[job.spec.team] += job.spec.each;
         ++waiting;
@@ -792,16 +796,16 @@
     LookAfterMachines(now);
   }
   if (fleet_.types().empty()) return;
-  const std::vector<Job*> ordered = Ordered(wall);
+  const std::vector<Waiting> ordered = Ordered(wall);
   // With nothing waiting, a plan is made again only if it could differ.
   if (ordered.empty() && (now < full_next_ || (!touched_ && !unsettled_))) return;
   Plan plan = StartPlan(now, ordered);
   if (plan.may_rent)
-    for (const Job* job : ordered)
+    for (const auto& [job, due] : ordered)
       plan.alike[job->shape] += static_cast<std::uint32_t>(job->pending.size());
   int budget = kMostPlanned;
   bool spared = false;
-  for (Job* job : ordered) {
+  for (const auto& [job, due] : ordered) {
     if (!spared && job->spec.priority != Priority::kProduction) {
       PlanSpare(plan, now);  // before the rest takes the room
       spared = true;
@@ -809,7 +813,7 @@
     if (now < job->not_before || job->reload) continue;
     // Between two full plans, what can neither begin now nor make room waits.
     if (!plan.full && plan.open == 0 && job->spec.priority <= plan.lowest) continue;
-    PlanJob(plan, *job, now, wall, budget);
+    PlanJob(plan, *job, due, now, budget);
   }
   if (!plan.full) return;
   if (!spared) PlanSpare(plan, now);
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -132,13 +132,7 @@
 void Scheduler::ApplyRecord(Job& job, const TaskRecord& r) {
   Task& t = job.tasks[r.index];
   if (t.machine != nullptr) {  // an older record was read before
-    Machine& m = *t.machine;
-    LetGo(m, job, r.index);
-    FreeRoom(job, t);
-    --job.bound;
-    if (--job.in_zone[m.zone] == 0) job.in_zone.erase(m.zone);
-    team_use_[job.spec.team] -= job.spec.each;
-    t.machine = nullptr;
+    LeaveMachine(job, r.index);
     t.state = TaskState::kPending;
   }
   t.attempt = r.attempt;
@@ -151,12 +145,8 @@
   Machine& m = Meet(r.machine, Instant{});
   if (m.zone.empty()) m.zone = r.zone;
   t.state = TaskState::kBound;
-  t.machine = &m;
   t.want_stop = job.cancelled;
-  Hold(m, job, r.index);
-  ++job.bound;
-  ++job.in_zone[m.zone];
-  team_use_[job.spec.team] += job.spec.each;
+  TakeMachine(job, r.index, m);
 }
 
 // The record that says what the task is now.
@@ -268,17 +258,29 @@
 
 void Scheduler::WantPush(Machine& m) { push_wanted_.insert(m.id); }
 
-void Scheduler::Hold(Machine& m, Job& job, std::uint32_t index) {
+void Scheduler::TakeMachine(Job& job, std::uint32_t index, Machine& m) {
+  Task& t = job.tasks[index];
+  t.machine = &m;
+  t.room = true;
   m.tasks.push_back({&job, index});
-  job.tasks[index].room = true;
   m.used += job.spec.each;
   if (job.spec.kind == JobKind::kArray) ++m.arrays;
+  ++job.bound;
+  ++job.in_zone[m.zone];
+  team_use_[job.spec.team] += job.spec.each;
   CountInZone(m);
   Touch();
 }
 
-void Scheduler::LetGo(Machine& m, const Job& job, std::uint32_t index) {
+void Scheduler::LeaveMachine(Job& job, std::uint32_t index) {
+  Task& t = job.tasks[index];
+  Machine& m = *t.machine;
   std::erase_if(m.tasks, [&](const Held& h) { return h.job == &job && h.index == index; });
+  FreeRoom(job, t);
+  t.machine = nullptr;
+  --job.bound;
+  if (--job.in_zone[m.zone] == 0) job.in_zone.erase(m.zone);
+  team_use_[job.spec.team] -= job.spec.each;
   CountInZone(m);
   Touch();
 }
@@ -302,17 +304,13 @@
   Task& t = job.tasks[index];
   t.state = TaskState::kBinding;
   ++t.attempt.v;
-  t.machine = &m;
   t.seen = false;
   t.running = false;
   t.want_stop = false;
   t.overran = false;
   t.timed = true;
   t.since = now;
-  Hold(m, job, index);
-  ++job.bound;
-  ++job.in_zone[m.zone];
-  team_use_[job.spec.team] += job.spec.each;
+  TakeMachine(job, index, m);
   MarkDirty(job, index, now);
   job.urgent = true;
   if (options_.notes)
@@ -326,15 +324,10 @@
   NoLongerExpected(job, index);
   if (t.machine != nullptr) {
     Machine& m = *t.machine;
-    LetGo(m, job, index);
-    FreeRoom(job, t);
+    LeaveMachine(job, index);
     if (m.tasks.empty()) m.used = {};
     m.idle_since = now;
-    --job.bound;
-    if (--job.in_zone[m.zone] == 0) job.in_zone.erase(m.zone);
-    team_use_[job.spec.team] -= job.spec.each;
   }
-  t.machine = nullptr;
   t.seen = t.running = t.want_stop = false;
   if (t.state == TaskState::kEnding || t.state == TaskState::kDone) {
     t.state = TaskState::kDone;
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -342,8 +342,8 @@
   std::vector<Command> CommandsFor(Machine& m, Instant now);
   void Bind(Job& job, std::uint32_t index, Machine& m, Instant now);
   void Unbind(Job& job, std::uint32_t index, Instant now);
-  void Hold(Machine& m, Job& job, std::uint32_t index);
-  void LetGo(Machine& m, const Job& job, std::uint32_t index);
+  void TakeMachine(Job& job, std::uint32_t index, Machine& m);
+  void LeaveMachine(Job& job, std::uint32_t index);
   Seconds RunOn(const Job& job, std::size_t kind) const;
   Seconds ExpectOn(const Job& job, const Machine& m) const;
   void MarkDirty(Job& job, std::uint32_t index, Instant now);
@@ -372,11 +372,17 @@
   bool WithinLimit(const Job& job, const std::map<std::string, Resources>& use) const;
   Resources Room(const Machine& m, const MachineType& type) const;
   struct Due {
-    Seconds target;     // from now
-    bool late = false;  // all of its targets have passed
+    Seconds target;       // from now
+    Seconds rent_target;  // the same without the guarantee, which no boot can meet
+    bool late = false;    // all of its targets have passed
   };
-  Due DueOf(const Job& job, WallTime wall, bool with_guarantee = true) const;
-  std::vector<Job*> Ordered(WallTime wall);
+  Due DueOf(const Job& job, WallTime wall) const;
+  // A job with tasks to be placed.
+  struct Waiting {
+    Job* job = nullptr;
+    Due due;
+  };
+  std::vector<Waiting> Ordered(WallTime wall);
   // A machine in the plan: one that there is, or one about to be ordered.
   struct Slot {
     Machine* machine = nullptr;
@@ -425,7 +431,7 @@
   static std::string ShapeOf(const JobSpec& spec);
   std::size_t KindNumber(const MachineKind& kind);
   bool KindAllows(const JobSpec& spec, const KindFacts& kind) const;
-  Plan StartPlan(Instant now, const std::vector<Job*>& waiting);
+  Plan StartPlan(Instant now, const std::vector<Waiting>& waiting);
   static bool Open(const Plan& plan, const Slot& slot);
   static void HoldIn(Plan& plan, std::size_t slot, Instant start, const Resources& need,
                      std::optional<Instant> end);
@@ -433,7 +439,7 @@
   void NoteChangedJobs(Instant now);
   void NoteArrival(Job& job, double tasks, Instant now);
   Instant EndOf(const Job& job, const Task& t, const Machine& m, Instant now) const;
-  void PlanJob(Plan& plan, Job& job, Instant now, WallTime wall, int& budget);
+  void PlanJob(Plan& plan, Job& job, const Due& due, Instant now, int& budget);
   bool PlanRental(Plan& plan, Job& job, Seconds target, Instant now,
                   std::optional<Seconds> otherwise);
   std::uint32_t RentSpare(Plan& plan, const JobSpec& spec, std::uint32_t tasks, Instant now);
@@ -474,7 +480,7 @@
   bool wants_tick_ = false;
   std::uint64_t places_looked_at_ = 0;
   std::uint64_t jobs_planned_ = 0;
-  mutable std::uint64_t machines_looked_at_ = 0;
+  std::uint64_t machines_looked_at_ = 0;
   std::vector<KindFacts> kinds_;
   std::map<MachineKind, std::size_t> kind_numbers_;
   std::map<std::string, std::uint32_t> image_numbers_;
--- a/src/core/shelf.cc
+++ b/src/core/shelf.cc
@@ -20,21 +20,16 @@
   return std::tie(wait, spare, turn) < std::tie(other.wait, other.spare, other_turn);
 }
 
-void Shelf::Kind::Now(const Place& place) {
-  now_.push_back(place);
-  std::push_heap(now_.begin(), now_.end(), After);
+void Shelf::Heap::Put(const Place& place) {
+  places_.push_back(place);
+  std::push_heap(places_.begin(), places_.end(), After);
 }
 
-void Shelf::Kind::Later(const Place& place) {
-  later_.push_back(place);
-  std::push_heap(later_.begin(), later_.end(), After);
-}
-
-std::optional<Shelf::Place> Shelf::Kind::Top(std::vector<Place>& heap, const Versions& versions) {
-  while (!heap.empty()) {
-    if (heap.front().version == versions[heap.front().slot]) return heap.front();
-    std::pop_heap(heap.begin(), heap.end(), After);
-    heap.pop_back();
+std::optional<Shelf::Place> Shelf::Heap::Best(const Versions& versions) {
+  while (!places_.empty()) {
+    if (places_.front().version == versions[places_.front().slot]) return places_.front();
+    std::pop_heap(places_.begin(), places_.end(), After);
+    places_.pop_back();
   }
   return std::nullopt;
 }
--- a/src/core/shelf.h
+++ b/src/core/shelf.h
@@ -25,21 +25,21 @@
   };
   using Versions = std::vector<std::uint32_t>;  // of the slots, by number
 
-  // What is known of a kind. `now`: places where commands can be sent at once
-  // and the task fits. `later`: all places, those included.
-  struct Kind {
-    void Now(const Place& place);
-    void Later(const Place& place);
+  class Heap {
+   public:
+    void Put(const Place& place);
     // The best one that still stands; it stays. nullopt if there is none.
-    std::optional<Place> BestNow(const Versions& versions) { return Top(now_, versions); }
-    std::optional<Place> BestLater(const Versions& versions) { return Top(later_, versions); }
-    bool has_now = false;    // filled by the caller, as are `later` ones: the
-    bool has_later = false;  // second only once the first have no answer
+    std::optional<Place> Best(const Versions& versions);
+    bool filled = false;  // by the caller, when it first asks
 
    private:
-    static std::optional<Place> Top(std::vector<Place>& heap, const Versions& versions);
-    std::vector<Place> now_;
-    std::vector<Place> later_;
+    std::vector<Place> places_;
+  };
+
+  // What is known of a kind.
+  struct Kind {
+    Heap now;    // where commands can be sent at once and the task fits
+    Heap later;  // all places, those included; asked when the first has no answer
   };
 
   Shelf(Resources each, std::uint32_t image, double image_gb)
--- a/tests/growth_test.cc
+++ b/tests/growth_test.cc
@@ -80,10 +80,10 @@
   Shelf shelf({1, 0, 1}, 0, 0);
   Shelf::Kind& kind = shelf.Of(0);
   Shelf::Versions versions(kSlots);
-  for (std::uint32_t i = 0; i < kSlots; ++i) kind.Now({{0}, 4, i, 0});
+  for (std::uint32_t i = 0; i < kSlots; ++i) kind.now.Put({{0}, 4, i, 0});
   std::array<int, 4> quarters{};
   for (std::uint32_t turn = 0; turn < kSlots / 4; ++turn) {
-    const std::uint32_t slot = kind.BestNow(versions)->slot;
+    const std::uint32_t slot = kind.now.Best(versions)->slot;
     ++quarters.at(4 * slot / kSlots);
     ++versions[slot];
   }
@@ -101,12 +101,12 @@
   const auto put = [&](std::uint32_t slot) {
     const Shelf::Place place{{double(dice() % 4)}, double(dice() % 5), slot, versions[slot]};
     places[slot] = place;
-    kind.Later(place);
+    kind.later.Put(place);
   };
   places.resize(kSlots);
   for (std::uint32_t i = 0; i < kSlots; ++i) put(i);
   for (int turn = 0; turn < 500; ++turn) {
-    const auto best = kind.BestLater(versions);
+    const auto best = kind.later.Best(versions);
     ASSERT_TRUE(best);
     EXPECT_EQ(best->slot, std::min_element(places.begin(), places.end())->slot);
     const std::uint32_t changed = turn % 2 == 0 ? best->slot : dice() % kSlots;
@@ -114,8 +114,8 @@
     put(changed);
   }
   for (std::uint32_t& v : versions) ++v;
-  EXPECT_FALSE(kind.BestLater(versions)) << "nothing stands any more";
-  EXPECT_FALSE(kind.BestNow(versions)) << "none was put there";
+  EXPECT_FALSE(kind.later.Best(versions)) << "nothing stands any more";
+  EXPECT_FALSE(kind.now.Best(versions)) << "none was put there";
 }
 
 // Each tick once looked at all machines, four times a second for silence and once
--- a/tests/world.h
+++ b/tests/world.h
@@ -13,6 +13,7 @@
 #include "core/scheduler.h"
 #include "fake_store.h"
 #include "fake_worker.h"
+#include "made_job.h"
 #include "state/plan_writer.h"
 #include "state/records.h"
 
@@ -23,19 +24,6 @@
           {"large", {16, 0, 64}, 60, 1, 1.0, 0.4, {20}, {"a", "b"}}};
 }
 
-inline JobSpec MakeJob(const std::string& id, std::uint32_t tasks = 1) {
-  JobSpec s;
-  s.id = {id};
-  s.job_class = "sums";
-  s.team = "red";
-  s.tasks = tasks;
-  s.each = {2, 0, 4};
-  s.image = "img-1";
-  s.image_gb = 1;
-  s.estimate = {30};
-  return s;
-}
-
 inline std::string ToBody(const JobSpec& spec) { return wire::JobToRecord(spec).dump(); }
 
 class Node {
