Triage: work that can't be in time along with the rest no longer makes it late

Late work was ordered by its last target, and work in time by the soonest deadline, so that under a load that is too much nearly every job was begun just when it was too late.

Change: src/triage, Moore and Hodgson's rule over the paper's slack with the queue's own work as the wait; what is put off goes by the work left.

README's Release build failed (g++ 12, maybe-uninitialized in src/agent/worker.cc): mended.

--- a/src/agent/worker.cc
+++ b/src/agent/worker.cc
@@ -208,7 +208,7 @@
   }
   it->second.gb = job.image_gb;
   MakeCacheRoom();
-  effects_.push_back({Effect::Kind::kFetch, {}, {}, job.image});
+  AskImage(Effect::Kind::kFetch, job.image);
 }
 
 bool Worker::InUse(const std::string& image) const {
@@ -233,7 +233,7 @@
         least = it;
     if (least == images_.end()) return;
     all -= least->second.gb;
-    effects_.push_back({Effect::Kind::kDropImage, {}, {}, least->first});
+    AskImage(Effect::Kind::kDropImage, least->first);
     images_.erase(least);
   }
 }
@@ -241,7 +241,7 @@
 void Worker::GiveUpUnwanted(const std::string& image) {
   const auto it = images_.find(image);
   if (it == images_.end() || it->second.here || InUse(image)) return;
-  effects_.push_back({Effect::Kind::kGiveUp, {}, {}, image});
+  AskImage(Effect::Kind::kGiveUp, image);
   images_.erase(it);
 }
 
@@ -348,4 +348,12 @@
   effects_.push_back({kind, key.first, key.second, {}});
 }
 
+// Filled in place: of a braced temporary g++ 12 believes that it may be
+// uninitialized, which stopped the Release build.
+void Worker::AskImage(Effect::Kind kind, const std::string& image) {
+  Effect& effect = effects_.emplace_back();
+  effect.kind = kind;
+  effect.image = image;
+}
+
 }  // namespace magpie::agent
--- a/src/agent/worker.h
+++ b/src/agent/worker.h
@@ -144,6 +144,7 @@
   void See(Token token, Instant now);
   void TryNext(Instant now);
   void Ask(Effect::Kind kind, const Key& key);
+  void AskImage(Effect::Kind kind, const std::string& image);
   void End(Run& run, EndCause cause, bool saved = false);
   void Launch(const Key& key, Run& run);
   void WantImage(const Description& job);
--- a/src/core/planning.cc
+++ b/src/core/planning.cc
@@ -109,21 +109,23 @@
       all.emplace_back(target, target);
     }
     std::sort(all.begin(), all.end());
-    Due due{{all.front().first - age.v}, {}, false};
+    Due due{{all.front().first - age.v}, {}, false, {}, {longest}, false};
     if (job.spec.kind == JobKind::kService) return due;
+    due.overdue = age.v >= kForgotten * all.back().first;
     for (const auto& [target, until] : all) {
-      due.target = {target - age.v};
-      if (age.v <= until) return due;
+      if (due.targets.empty()) due.target = {target - age.v};
+      if (age.v <= until) due.targets.push_back({target - age.v});
     }
-    due.late = age.v < kForgotten * all.back().first;
+    due.late = due.targets.empty() && !due.overdue;
     return due;
   };
   Due due = tightest(targets);
   due.rent_target = due.target;
   if (guarantees.empty()) return due;
   guarantees.insert(guarantees.end(), targets.begin(), targets.end());
-  const Due with = tightest(std::move(guarantees));
-  return {with.target, due.rent_target, with.late};
+  Due with = tightest(std::move(guarantees));
+  with.rent_target = due.rent_target;
+  return with;
 }
 
 // Lower ranks first: production and jobs that lie within a guarantee whole, then
@@ -133,10 +135,60 @@
   return {first ? 0 : InGuarantee(job) ? 1 : 2, -static_cast<int>(job.spec.priority)};
 }
 
-// Within a rank, work that can still be in time goes before work that is late:
-// under a load that is too much, each late job would else make the next one late.
+// For how long the job's waiting tasks would take all the room that they may use.
+Seconds Scheduler::WorkLeft(const Job& job, Seconds run) const {
+  if (rooms_.empty()) return {};  // nothing is known before the first plan
+  const Resources& each = job.spec.each;
+  double at_once = 0;
+  for (std::size_t k = 0; k < rooms_.size(); ++k) {
+    const KindRoom& room = rooms_[k];
+    if (room.count == 0 || !KindAllows(job.spec, kinds_[k])) continue;
+    double fit = room.count * static_cast<double>(HowMany(kinds_[k].type->room, each));
+    if (each.cpus > 0) fit = std::min(fit, room.free.cpus / each.cpus);
+    if (each.gpus > 0) fit = std::min(fit, room.free.gpus / each.gpus);
+    if (each.memory_gb > 0) fit = std::min(fit, room.free.memory_gb / each.memory_gb);
+    at_once += fit;
+  }
+  return {static_cast<double>(job.pending.size()) * run.v / std::max(at_once, 1.0)};
+}
+
+// Of one rank's waiting jobs, tells those that can be in time along with what goes
+// before them from those that are put off.
+void Scheduler::TriageRank(Waiting* begin, Waiting* end, Seconds& ahead) const {
+  std::vector<Waiting*> arrays;
+  std::vector<Claimant> claimants;
+  Seconds late{};
+  for (Waiting* w = begin; w != end; ++w) {
+    w->order = w->due.target;
+    if (w->job->spec.kind == JobKind::kService) continue;
+    const Seconds work = WorkLeft(*w->job, w->due.run);
+    if (w->due.overdue) {
+      ahead = ahead + work;
+    } else if (w->due.late) {
+      w->put_off = true;
+      w->order = work;
+      late = late + work;
+    } else {
+      arrays.push_back(w);
+      claimants.push_back({work, w->due.run, w->due.targets});
+    }
+  }
+  const Triaged triaged = Triage(claimants, ahead, options_.weights.alpha);
+  for (std::size_t i = 0; triaged.overload && i < arrays.size(); ++i) {
+    Waiting& w = *arrays[i];
+    w.put_off = !triaged.meets[i];
+    w.order = w.put_off ? claimants[i].work : w.due.targets[*triaged.meets[i]];
+    if (w.put_off) late = late + claimants[i].work;
+  }
+  ahead = ahead + triaged.work + late;
+}
+
+// Within a rank, work that can still be in time goes before work that is late or
+// would make more of the others late: under a load that is too much, each late job
+// would else make the next one late. What is put off goes by the work that is left,
+// so that the room is not spread over arrays of which hardly any ends.
 std::vector<Scheduler::Waiting> Scheduler::Ordered(WallTime wall) {
-  std::vector<std::pair<std::pair<int, int>, Waiting>> keyed;  // by rank
+  std::vector<Waiting> waiting;
   for (auto it = waiting_.begin(); it != waiting_.end();) {
     Job* job = *it;
     if (job->pending.empty() || job->cancelled) {
@@ -144,17 +196,21 @@
       continue;
     }
     ++it;
-    keyed.emplace_back(RankOf(*job), Waiting{job, DueOf(*job, wall)});
+    waiting.push_back({job, DueOf(*job, wall), RankOf(*job), false, {}});
   }
-  std::sort(keyed.begin(), keyed.end(), [](const auto& a, const auto& b) {
-    const Due& x = a.second.due;
-    const Due& y = b.second.due;
-    return std::tie(a.first, x.late, x.target, a.second.job->spec.id) <
-           std::tie(b.first, y.late, y.target, b.second.job->spec.id);
-  });
-  std::vector<Waiting> waiting;
-  waiting.reserve(keyed.size());
-  for (const auto& [rank, job] : keyed) waiting.push_back(job);
+  const auto sort = [&](const auto& key) {
+    std::sort(waiting.begin(), waiting.end(),
+              [&](const Waiting& a, const Waiting& b) { return key(a) < key(b); });
+  };
+  sort([](const Waiting& w) { return std::tie(w.rank, w.job->spec.id); });
+  Seconds ahead = busy_;
+  for (std::size_t begin = 0; begin < waiting.size();) {
+    std::size_t end = begin;
+    while (end < waiting.size() && waiting[end].rank == waiting[begin].rank) ++end;
+    TriageRank(waiting.data() + begin, waiting.data() + end, ahead);
+    begin = end;
+  }
+  sort([](const Waiting& w) { return std::tie(w.rank, w.put_off, w.order, w.job->spec.id); });
   return waiting;
 }
 
@@ -250,12 +306,14 @@
   if (plan.full) full_next_ = now + kFullEvery;
   if (plan.may_rent) touched_ = false;
   if (!waiting.empty()) plan.least = waiting.front().job->spec.each;
-  for (const auto& [job, due] : waiting) {
-    const Resources& each = job->spec.each;
+  for (const Waiting& w : waiting) {
+    const Resources& each = w.job->spec.each;
     plan.least = {std::min(plan.least.cpus, each.cpus), std::min(plan.least.gpus, each.gpus),
                   std::min(plan.least.memory_gb, each.memory_gb)};
   }
-  std::vector<int> have;
+  rooms_.assign(kinds_.size(), {});
+  Seconds busy;  // times CPUs
+  Resources all;
   plan.slots.reserve(machines_.size());
   machines_looked_at_ += machines_.size();
   for (const auto& [id, m] : machines_) {
@@ -263,8 +321,8 @@
     if (!m->kind) m->kind = KindNumber({m->type, m->zone, m->spot});
     const KindFacts& kind = kinds_[*m->kind];
     if (kind.type == nullptr) continue;
-    if (have.size() < kinds_.size()) have.resize(kinds_.size());
-    ++have[*m->kind];
+    if (rooms_.size() < kinds_.size()) rooms_.resize(kinds_.size());
+    ++rooms_[*m->kind].count;
     // Time alone may have it returned, given up, or emptied of its replicas.
     plan.unsettled |= !m->up || m->tasks.empty() ||
                       (m->arrays == 0 && !m->spot && 2 * m->used.cpus <= kind.type->room.cpus);
@@ -279,21 +337,28 @@
     }
     Slot slot{m.get(), *m->kind, Lane(Room(*m, *kind.type), from), m->up && !m->addr.empty(),
               !m->tasks.empty()};
+    Resources free = kind.type->room;
     for (const Held& held : m->tasks) {
       const Job& job = *held.job;
       const Task& t = held.task();
       if (t.state == TaskState::kEnding) continue;  // its room is free already
       if (job.spec.kind == JobKind::kArray) {
-        slot.lane.AddEnd(EndOf(job, t, *m, now), job.spec.each);
+        const Instant ends = EndOf(job, t, *m, now);
+        slot.lane.AddEnd(ends, job.spec.each);
+        busy = busy + job.spec.each.cpus * (ends - now);
         plan.lowest = std::min(plan.lowest, job.spec.priority);
       } else if (job.cancelled) {
         slot.lane.AddEnd(now + Seconds{1}, job.spec.each);
       }
+      if (job.spec.kind == JobKind::kService) free -= job.spec.each;
     }
+    rooms_[*m->kind].free += free;
+    all += free;
     AddSlot(plan, std::move(slot));
   }
-  for (std::size_t k = 0; k < have.size(); ++k)
-    if (have[k] > 0) plan.have[kinds_[k].kind] = have[k];
+  busy_ = (1 / std::max(all.cpus, 1.0)) * busy;
+  for (std::size_t k = 0; k < rooms_.size(); ++k)
+    if (rooms_[k].count > 0) plan.have[kinds_[k].kind] = rooms_[k].count;
   return plan;
 }
 
@@ -801,11 +866,12 @@
   if (ordered.empty() && (now < full_next_ || (!touched_ && !unsettled_))) return;
   Plan plan = StartPlan(now, ordered);
   if (plan.may_rent)
-    for (const auto& [job, due] : ordered)
-      plan.alike[job->shape] += static_cast<std::uint32_t>(job->pending.size());
+    for (const Waiting& w : ordered)
+      plan.alike[w.job->shape] += static_cast<std::uint32_t>(w.job->pending.size());
   int budget = kMostPlanned;
   bool spared = false;
-  for (const auto& [job, due] : ordered) {
+  for (const Waiting& w : ordered) {
+    Job* job = w.job;
     if (!spared && job->spec.priority != Priority::kProduction) {
       PlanSpare(plan, now);  // before the rest takes the room
       spared = true;
@@ -813,7 +879,7 @@
     if (now < job->not_before || job->reload) continue;
     // Between two full plans, what can neither begin now nor make room waits.
     if (!plan.full && plan.open == 0 && job->spec.priority <= plan.lowest) continue;
-    PlanJob(plan, *job, due, now, budget);
+    PlanJob(plan, *job, w.due, now, budget);
   }
   if (!plan.full) return;
   if (!spared) PlanSpare(plan, now);
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -45,6 +45,8 @@
   machines_.clear();
   gone_.clear();
   touched_ = unsettled_ = true;
+  rooms_.clear();
+  busy_ = {};
   machines_looked_at_ = 0;
   gone_order_.clear();
   team_use_.clear();
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -29,6 +29,7 @@
 #include "core/run_time_table.h"
 #include "core/shelf.h"
 #include "core/types.h"
+#include "triage/triage.h"
 
 namespace magpie {
 
@@ -375,14 +376,23 @@
     Seconds target;       // from now
     Seconds rent_target;  // the same without the guarantee, which no boot can meet
     bool late = false;    // all of its targets have passed
+    // Those that have not passed, the tightest first; none of a service.
+    std::vector<Seconds> targets;
+    Seconds run;           // on the largest type
+    bool overdue = false;  // by far: it is not put off any longer
   };
   Due DueOf(const Job& job, WallTime wall) const;
   // A job with tasks to be placed.
   struct Waiting {
     Job* job = nullptr;
     Due due;
+    std::pair<int, int> rank;  // see RankOf
+    bool put_off = false;      // it meets no target along with the others
+    Seconds order;             // by what it goes among those alike: target or work
   };
   std::vector<Waiting> Ordered(WallTime wall);
+  void TriageRank(Waiting* begin, Waiting* end, Seconds& ahead) const;
+  Seconds WorkLeft(const Job& job, Seconds run) const;
   // A machine in the plan: one that there is, or one about to be ordered.
   struct Slot {
     Machine* machine = nullptr;
@@ -425,6 +435,11 @@
     double weight = 0;  // tasks that arrived, decaying
     Instant at;
   };
+  // What the arrays may use of a kind of machine, as of the last plan.
+  struct KindRoom {
+    int count = 0;
+    Resources free;  // of services
+  };
   class Places;
   static constexpr double kArrivalMemory = 120;  // seconds
   static constexpr Seconds kAlarm{10};           // how long one lasts
@@ -482,6 +497,8 @@
   std::uint64_t jobs_planned_ = 0;
   std::uint64_t machines_looked_at_ = 0;
   std::vector<KindFacts> kinds_;
+  std::vector<KindRoom> rooms_;  // by number of kind
+  Seconds busy_;                 // until what runs would be done, with all room at it
   std::map<MachineKind, std::size_t> kind_numbers_;
   std::map<std::string, std::uint32_t> image_numbers_;
   std::set<Job*> waiting_;  // jobs with tasks to be placed, and some that had
