Urgent work that is late stops nothing; a flood leaves a quarter to the rest

Change: work put off stops nothing; while urgent work is put off, less urgent work that can be in time keeps a quarter of the arrays' room and is not stopped within twice that. Own run time half done is not counted into the wait; that a job alone misses its target by estimate is no overload.

--- a/src/core/planning.cc
+++ b/src/core/planning.cc
@@ -153,17 +153,19 @@
 }
 
 // Of one rank's waiting jobs, tells those that can be in time along with what goes
-// before them from those that are put off.
-void Scheduler::TriageRank(Waiting* begin, Waiting* end, Seconds& ahead) const {
+// before them from those that are put off, if they get `part` of the room. Returns
+// the work of all of them.
+Seconds Scheduler::TriageRank(Waiting* begin, Waiting* end, Seconds ahead, double part) const {
   std::vector<Waiting*> arrays;
   std::vector<Claimant> claimants;
   Seconds late{};
+  Seconds overdue{};
   for (Waiting* w = begin; w != end; ++w) {
     w->order = w->due.target;
     if (w->job->spec.kind == JobKind::kService) continue;
-    const Seconds work = WorkLeft(*w->job, w->due.run);
+    const Seconds work = (1 / part) * WorkLeft(*w->job, w->due.run);
     if (w->due.overdue) {
-      ahead = ahead + work;
+      overdue = overdue + work;
     } else if (w->due.late) {
       w->put_off = true;
       w->order = work;
@@ -173,14 +175,60 @@
       claimants.push_back({work, w->due.run, w->due.targets});
     }
   }
-  const Triaged triaged = Triage(claimants, ahead, options_.weights.alpha);
+  const Triaged triaged = Triage(claimants, ahead + overdue, options_.weights.alpha);
   for (std::size_t i = 0; triaged.overload && i < arrays.size(); ++i) {
     Waiting& w = *arrays[i];
     w.put_off = !triaged.meets[i];
     w.order = w.put_off ? claimants[i].work : w.due.targets[*triaged.meets[i]];
     if (w.put_off) late = late + claimants[i].work;
   }
-  ahead = ahead + triaged.work + late;
+  return overdue + triaged.work + late;
+}
+
+// What runs and is not stopped for work of this priority.
+Seconds Scheduler::BusyFrom(Priority priority) const {
+  Seconds busy;
+  for (std::size_t p = static_cast<std::size_t>(priority); p < busy_.size(); ++p)
+    busy = busy + busy_.at(p);
+  return busy;
+}
+
+// CPUs that arrays of lower priority take.
+double Scheduler::HeldBelow(Priority priority) const {
+  double held = 0;
+  for (std::size_t p = 0; p < static_cast<std::size_t>(priority); ++p) held += array_cpus_.at(p);
+  return held;
+}
+
+namespace {
+constexpr double kFloor = 0.25;  // of the room that arrays have
+constexpr double kSpared = 2;    // times the floor
+}  // namespace
+
+// While not all urgent work can be in time, what is less urgent keeps a part of the
+// room: else it would be begun and stopped again for hours and never end. Its jobs
+// that can be in time within that go first, after those that a guarantee promises.
+void Scheduler::KeepFloor(std::vector<Waiting>& waiting) {
+  constexpr std::pair<int, int> kAfterPromised{0, 1};
+  const double floor = kFloor * array_room_;
+  for (const Priority flooded : {Priority::kNormal, Priority::kHigh, Priority::kProduction}) {
+    const bool flood = std::any_of(waiting.begin(), waiting.end(), [&](const Waiting& w) {
+      return w.put_off && w.job->spec.priority == flooded;
+    });
+    double held = HeldBelow(flooded);
+    // Above its floor it may be stopped, but not by what has just been put off for it.
+    if (flood && held <= kSpared * floor) spared_below_ = flooded;
+    if (!flood || held >= floor) continue;
+    for (Waiting& w : waiting) {
+      if (held >= floor) break;
+      const JobSpec& spec = w.job->spec;
+      if (spec.kind == JobKind::kService || spec.priority >= flooded || w.put_off ||
+          w.rank <= kAfterPromised)
+        continue;
+      w.rank = kAfterPromised;
+      held += static_cast<double>(w.job->pending.size()) * spec.each.cpus;
+    }
+  }
 }
 
 // Within a rank, work that can still be in time goes before work that is late or
@@ -203,14 +251,29 @@
               [&](const Waiting& a, const Waiting& b) { return key(a) < key(b); });
   };
   sort([](const Waiting& w) { return std::tie(w.rank, w.job->spec.id); });
-  Seconds ahead = busy_;
+  Seconds ahead;
+  std::optional<Priority> flooded;  // the least urgent with work put off so far
   for (std::size_t begin = 0; begin < waiting.size();) {
     std::size_t end = begin;
     while (end < waiting.size() && waiting[end].rank == waiting[begin].rank) ++end;
-    TriageRank(waiting.data() + begin, waiting.data() + end, ahead);
-    begin = end;
+    const Priority priority = waiting[begin].job->spec.priority;
+    const bool floor = flooded && priority < *flooded;
+    const Seconds work =
+        TriageRank(waiting.data() + begin, waiting.data() + end,
+                   floor ? Seconds{} : ahead + BusyFrom(priority), floor ? kFloor : 1);
+    ahead = ahead + work;
+    for (; begin < end; ++begin)
+      if (waiting[begin].put_off && (!flooded || priority < *flooded)) flooded = priority;
+  }
+  const auto key = [](const Waiting& w) {
+    return std::tie(w.rank, w.put_off, w.order, w.job->spec.id);
+  };
+  sort(key);
+  spared_below_.reset();
+  if (flooded) {
+    KeepFloor(waiting);
+    sort(key);
   }
-  sort([](const Waiting& w) { return std::tie(w.rank, w.put_off, w.order, w.job->spec.id); });
   return waiting;
 }
 
@@ -312,7 +375,7 @@
                   std::min(plan.least.memory_gb, each.memory_gb)};
   }
   rooms_.assign(kinds_.size(), {});
-  Seconds busy;  // times CPUs
+  std::array<Seconds, 4> busy{};  // times CPUs
   Resources all;
   plan.slots.reserve(machines_.size());
   machines_looked_at_ += machines_.size();
@@ -345,7 +408,8 @@
       if (job.spec.kind == JobKind::kArray) {
         const Instant ends = EndOf(job, t, *m, now);
         slot.lane.AddEnd(ends, job.spec.each);
-        busy = busy + job.spec.each.cpus * (ends - now);
+        Seconds& until = busy.at(static_cast<std::size_t>(job.spec.priority));
+        until = until + job.spec.each.cpus * (ends - now);
         plan.lowest = std::min(plan.lowest, job.spec.priority);
       } else if (job.cancelled) {
         slot.lane.AddEnd(now + Seconds{1}, job.spec.each);
@@ -356,7 +420,9 @@
     all += free;
     AddSlot(plan, std::move(slot));
   }
-  busy_ = (1 / std::max(all.cpus, 1.0)) * busy;
+  for (std::size_t p = 0; p < busy.size(); ++p)
+    busy_.at(p) = (1 / std::max(all.cpus, 1.0)) * busy.at(p);
+  array_room_ = all.cpus;
   for (std::size_t k = 0; k < rooms_.size(); ++k)
     if (rooms_[k].count > 0) plan.have[kinds_[k].kind] = rooms_[k].count;
   return plan;
@@ -369,6 +435,9 @@
   constexpr double kMostLost = 1;  // in run times of the task that comes
   constexpr std::size_t kMostAtOnce = 16;
   if (job.spec.priority <= plan.lowest || now < job.preempt_after) return false;
+  const bool spares =
+      job.spec.kind == JobKind::kArray && spared_below_ && job.spec.priority <= *spared_below_;
+  if (spares) return false;
   job.preempt_after = now + kVictimsLeave;
   struct Sacrifice {
     double lost = 0;
@@ -613,7 +682,9 @@
 // Finds places for the job's tasks: binds them, or lets them hold room on the
 // machines that finish them soonest, or plans machines for them. At most
 // `budget` tasks are looked at.
-void Scheduler::PlanJob(Plan& plan, Job& job, const Due& due, Instant now, int& budget) {
+void Scheduler::PlanJob(Plan& plan, const Waiting& planned, Instant now, int& budget) {
+  Job& job = *planned.job;
+  const Due& due = planned.due;
   ++jobs_planned_;
   const bool service = job.spec.kind == JobKind::kService;
   std::uint32_t* alike = plan.may_rent ? &plan.alike[job.shape] : nullptr;
@@ -635,7 +706,8 @@
       }
     }
     if (!in_time && !at_once) {
-      MakeRoom(plan, job, now);
+      // What will be late all the same stops nothing.
+      if (!planned.put_off) MakeRoom(plan, job, now);
     } else if (!in_time && service && pick->choice.wait.v > 0 && MakeRoom(plan, job, now)) {
       return;  // rather at once where the image is, than here after a fetch
     }
@@ -879,7 +951,7 @@
     if (now < job->not_before || job->reload) continue;
     // Between two full plans, what can neither begin now nor make room waits.
     if (!plan.full && plan.open == 0 && job->spec.priority <= plan.lowest) continue;
-    PlanJob(plan, *job, w.due, now, budget);
+    PlanJob(plan, w, now, budget);
   }
   if (!plan.full) return;
   if (!spared) PlanSpare(plan, now);
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -47,6 +47,9 @@
   touched_ = unsettled_ = true;
   rooms_.clear();
   busy_ = {};
+  array_room_ = 0;
+  array_cpus_ = {};
+  spared_below_.reset();
   machines_looked_at_ = 0;
   gone_order_.clear();
   team_use_.clear();
@@ -266,7 +269,10 @@
   t.room = true;
   m.tasks.push_back({&job, index});
   m.used += job.spec.each;
-  if (job.spec.kind == JobKind::kArray) ++m.arrays;
+  if (job.spec.kind == JobKind::kArray) {
+    ++m.arrays;
+    array_cpus_.at(static_cast<std::size_t>(job.spec.priority)) += job.spec.each.cpus;
+  }
   ++job.bound;
   ++job.in_zone[m.zone];
   team_use_[job.spec.team] += job.spec.each;
@@ -293,7 +299,10 @@
   t.room = false;
   Touch();
   t.machine->used -= job.spec.each;
-  if (job.spec.kind == JobKind::kArray) --t.machine->arrays;
+  if (job.spec.kind == JobKind::kArray) {
+    --t.machine->arrays;
+    array_cpus_.at(static_cast<std::size_t>(job.spec.priority)) -= job.spec.each.cpus;
+  }
 }
 
 void Scheduler::MarkDirty(Job& job, std::uint32_t index, Instant now) {
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -8,6 +8,7 @@
 //  - each write is conditional on the epoch and on the keys it changes.
 #pragma once
 
+#include <array>
 #include <deque>
 #include <list>
 #include <map>
@@ -391,7 +392,10 @@
     Seconds order;             // by what it goes among those alike: target or work
   };
   std::vector<Waiting> Ordered(WallTime wall);
-  void TriageRank(Waiting* begin, Waiting* end, Seconds& ahead) const;
+  Seconds TriageRank(Waiting* begin, Waiting* end, Seconds ahead, double part) const;
+  void KeepFloor(std::vector<Waiting>& waiting);
+  Seconds BusyFrom(Priority priority) const;
+  double HeldBelow(Priority priority) const;
   Seconds WorkLeft(const Job& job, Seconds run) const;
   // A machine in the plan: one that there is, or one about to be ordered.
   struct Slot {
@@ -454,7 +458,7 @@
   void NoteChangedJobs(Instant now);
   void NoteArrival(Job& job, double tasks, Instant now);
   Instant EndOf(const Job& job, const Task& t, const Machine& m, Instant now) const;
-  void PlanJob(Plan& plan, Job& job, const Due& due, Instant now, int& budget);
+  void PlanJob(Plan& plan, const Waiting& waiting, Instant now, int& budget);
   bool PlanRental(Plan& plan, Job& job, Seconds target, Instant now,
                   std::optional<Seconds> otherwise);
   std::uint32_t RentSpare(Plan& plan, const JobSpec& spec, std::uint32_t tasks, Instant now);
@@ -498,7 +502,12 @@
   std::uint64_t machines_looked_at_ = 0;
   std::vector<KindFacts> kinds_;
   std::vector<KindRoom> rooms_;  // by number of kind
-  Seconds busy_;                 // until what runs would be done, with all room at it
+  // Until what runs would be done, with all room at it; by priority.
+  std::array<Seconds, 4> busy_{};
+  double array_room_ = 0;               // CPUs that arrays may use, as of the last plan
+  std::array<double, 4> array_cpus_{};  // that they take, by priority
+  // Of what lies below it, arrays stop nothing: it has no more than its floor.
+  std::optional<Priority> spared_below_;
   std::map<MachineKind, std::size_t> kind_numbers_;
   std::map<std::string, std::uint32_t> image_numbers_;
   std::set<Job*> waiting_;  // jobs with tasks to be placed, and some that had
--- a/src/triage/triage.cc
+++ b/src/triage/triage.cc
@@ -46,18 +46,19 @@
     result.meets[next.claimant] = next.target;
     planned.push(next.claimant);
     sum += claimants[next.claimant].work.v;
-    while (alpha * sum > next.until.v && !planned.empty()) {
+    // When its last task begins, what else is in progress is half done on average.
+    const double half = claimants[next.claimant].run.v / 2;
+    while (alpha * (sum - half) > next.until.v && !planned.empty()) {
       const std::size_t most = planned.top();
       planned.pop();
       sum -= claimants[most].work.v;
       const std::size_t missed = *result.meets[most];
       result.meets[most].reset();
+      result.overload = true;
       aim(most, missed + 1, next.until);
     }
   }
   result.work = {sum - ahead.v};
-  for (std::size_t i = 0; i < claimants.size(); ++i)
-    result.overload |= result.meets[i] != std::optional<std::size_t>(0);
   return result;
 }
 
