Submissions share transactions, paced by a rate learned from refusals

src/governor: a rate that refusals halve and waiting raises, and pauses that grow and differ. src/intake: one thread of those that submit writes for all that wait, up to a transaction's limit; who can't be served within a second is told at once when to come back. All constant pauses of the loops go.

--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -48,13 +48,24 @@
 
 void Sleep(Seconds s) { std::this_thread::sleep_for(duration<double>(s.v)); }
 
-// A pause that differs from thread to thread, so that retries do not meet.
-void Pause(Seconds s) {
+std::minstd_rand& Random() {
   thread_local std::minstd_rand random(std::random_device{}());
+  return random;
+}
+
+// A pause that differs from thread to thread, so that those who wait do not meet.
+void Pause(Seconds s) {
   std::uniform_real_distribution<double> spread(0.7, 1.3);
-  Sleep({s.v * spread(random)});
+  Sleep({s.v * spread(Random())});
 }
 
+// The pause before a failed call is tried again.
+void PauseLonger(Backoff& backoff) { Sleep(backoff.Next(Random())); }
+
+// Of the loops that can't go on without an answer of the state service or the
+// cloud: short at first, since most failures are, and never a storm.
+Backoff LoopBackoff() { return {{0.15}, {1.5}}; }
+
 std::string Nonce() {
   std::random_device device;
   return std::to_string((static_cast<std::uint64_t>(device()) << 32U) | device());
@@ -87,6 +98,17 @@
   return o;
 }
 
+// The controllers' jobs share the changes that the state service takes. Each begins
+// with its part of half of them, and learns the rest.
+Intake::Options IntakeOptions(const Settings& s) {
+  constexpr double kJobsShare = 0.5;
+  Intake::Options o;
+  o.most_jobs = s.txn_ops;
+  o.pace.most = s.write_rps;
+  o.pace.begin = kJobsShare / static_cast<double>(s.others.size() + 1);
+  return o;
+}
+
 // How many threads may be kept for a purpose: their stacks and buffers take that
 // part of the memory at most.
 std::size_t ThreadsFor(const Settings& s, double part, std::size_t least, std::size_t most) {
@@ -137,7 +159,7 @@
   const Seconds poll_gap{static_cast<double>(settings_.others.size() + 1) /
                          (kPollsShare * settings_.state_rps)};
   api_ = std::make_unique<JobApi>(
-      store_, settings_.teams, settings_.zones, poll_gap,
+      store_, settings_.teams, settings_.zones, poll_gap, IntakeOptions(settings_),
       JobApi::Hooks{[this] {
                       std::lock_guard lock(types_mutex_);
                       return types_;
@@ -205,7 +227,7 @@
   const Presence presence(users_);
   if (!presence.Admits(get)) {
     HttpResponse busy = Plain(503, R"({"error":"busy"})");
-    busy.retry_after = true;
+    busy.retry_after_s = 1;
     return busy;
   }
   // Without the state service, ask a controller that may have it. It is asked
@@ -458,10 +480,12 @@
 
 void Controller::MembershipLoop() {
   Membership membership(store_, settings_.label, Nonce(), settings_.leader_lease);
+  Backoff backoff(kStepAgain, {0.8});
   for (;;) {
     const Membership::View& view = membership.Step();
     Adopt(view);
-    const Seconds step = view.reached ? kStep : kStepAgain;
+    if (view.reached) backoff.Reset();
+    const Seconds step = view.reached ? kStep : backoff.Next(Random());
     std::unique_lock lock(membership_mutex_);
     membership_wake_.wait_for(lock, duration<double>(step.v),
                               [this] { return membership_nudged_; });
@@ -473,11 +497,12 @@
 
 void Controller::ControlWatchLoop() {
   Stamp tick;
+  Backoff backoff = LoopBackoff();
   for (;;) {
     if (tick.v == 0) {
       const RangeResult range = watch_store_.Range(records::kControl, "", 1);
       if (range.end != StoreEnd::kOk) {
-        Pause({0.5});
+        PauseLonger(backoff);
         continue;
       }
       tick = range.tick;
@@ -485,9 +510,10 @@
     const WatchResult watch = watch_store_.Watch(records::kControl, tick, kWatchBlock);
     if (watch.end != StoreEnd::kOk || watch.too_old) {
       tick = {};
-      Pause({0.5});
+      PauseLonger(backoff);
       continue;
     }
+    backoff.Reset();
     tick = watch.tick;
     if (watch.events.empty()) continue;
     {
@@ -499,12 +525,14 @@
 }
 
 void Controller::TypesLoop() {
+  Backoff backoff({0.5}, {5});
   for (;;) {
     auto types = cloud_.Types();
     if (!types) {
-      Pause({1});
+      PauseLonger(backoff);
       continue;
     }
+    backoff.Reset();
     {
       std::lock_guard lock(types_mutex_);
       types_ = *types;
@@ -518,6 +546,7 @@
 }
 
 void Controller::LeaderLoop() {
+  Backoff backoff = LoopBackoff();
   for (;;) {
     Leadership leadership;
     {
@@ -527,9 +556,10 @@
     }
     Stamp tick;
     if (!Load(leadership, tick)) {
-      Pause({0.3});
+      PauseLonger(backoff);
       continue;
     }
+    backoff.Reset();
     Follow(leadership, tick);
   }
 }
@@ -574,12 +604,14 @@
 }
 
 void Controller::Follow(const Leadership& leadership, Stamp tick) {
+  Backoff backoff = LoopBackoff();
   while (StillLeading(leadership)) {
     const WatchResult watch = watch_store_.Watch(records::kJobs, tick, kWatchBlock);
     if (watch.end != StoreEnd::kOk) {
-      Pause({0.3});
+      PauseLonger(backoff);
       continue;
     }
+    backoff.Reset();
     std::vector<WatchEvent> events = watch.events;
     if (watch.too_old) {
       // Read the jobs again; those that are gone were made final by us alone.
@@ -588,7 +620,8 @@
       for (bool more = true; more;) {
         const RangeResult range = store_.Range(records::kJobs, after, kPage);
         if (range.end != StoreEnd::kOk) {
-          Pause({0.3});
+          if (!StillLeading(leadership)) return;
+          PauseLonger(backoff);
           continue;
         }
         if (first.v == 0) first = range.tick;
@@ -761,6 +794,7 @@
 }
 
 void Controller::CloudLoop() {
+  Backoff backoff({0.3}, {5});
   const Seconds gap{1.2 / settings_.cloud_rps};
   for (;;) {
     std::optional<CloudCall> call;
@@ -776,13 +810,17 @@
       }
     }
     const Instant begin = SteadyNow();
-    CarryOut(*call);
+    if (CarryOut(*call))
+      backoff.Reset();
+    else
+      PauseLonger(backoff);
     const Seconds left = gap - (SteadyNow() - begin);
     if (left.v > 0) Sleep(left);
   }
 }
 
-void Controller::CarryOut(const CloudCall& call) {
+// False when the cloud did not answer as it should: the next call waits.
+bool Controller::CarryOut(const CloudCall& call) {
   if (call.kind == CloudCall::Kind::kList) {
     const auto list = cloud_.List();
     std::lock_guard lock(mutex_);
@@ -790,7 +828,7 @@
       scheduler_.OnList(*list, SteadyNow());
     else
       scheduler_.OnListFailed(SteadyNow());
-    return;
+    return list.has_value();
   }
   CloudEnd end = CloudEnd::kUnknown;
   if (call.kind == CloudCall::Kind::kRent) {
@@ -820,7 +858,7 @@
     }
     for (const MachineId& id : call.release) spdlog::info("returned {}", id.v);
   }
-  if (end != CloudEnd::kOk && end != CloudEnd::kNoCapacity) Pause({0.5});
+  return end == CloudEnd::kOk || end == CloudEnd::kNoCapacity;
 }
 
 }  // namespace magpie
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -59,7 +59,7 @@
   void ProbeLoop();
   void Send(const Push& push);
   void CloudLoop();
-  void CarryOut(const CloudCall& call);
+  bool CarryOut(const CloudCall& call);
   void WakePushes();
   void Adopt(const Membership::View& view);
   bool StillLeading(const Leadership& leadership);
--- a/src/app/job_api.cc
+++ b/src/app/job_api.cc
@@ -3,6 +3,8 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <cmath>
+#include <random>
 
 #include "core/fleet.h"
 
@@ -11,7 +13,8 @@
 
 constexpr std::size_t kFinalsRemembered = 4096;
 constexpr int kTries = 4;
-constexpr Seconds kPause{0.15};
+constexpr Seconds kFirstPause{0.1};
+constexpr Seconds kLongestPause{0.6};
 constexpr std::size_t kCountsRemembered = 4096;
 
 HttpResponse Answer(int status, const Json& body) { return {status, body.dump()}; }
@@ -22,9 +25,9 @@
           false};
 }
 
-HttpResponse Unavailable(const char* what) {
+HttpResponse Unavailable(const char* what, Seconds come_back = Seconds{1}) {
   HttpResponse response = Error(503, what);
-  response.retry_after = true;
+  response.retry_after_s = static_cast<std::uint32_t>(std::ceil(come_back.v));
   return response;
 }
 
@@ -50,13 +53,14 @@
 }
 
 JobApi::JobApi(Store& store, std::vector<Team> teams, std::vector<std::string> zones,
-               Seconds poll_gap, Hooks hooks)
+               Seconds poll_gap, Intake::Options intake, Hooks hooks)
     : store_(store),
       teams_(std::move(teams)),
       zones_(std::move(zones)),
       hooks_(std::move(hooks)),
       finals_(kFinalsRemembered),
-      mirror_(store, poll_gap, {hooks_.steady, hooks_.pause}) {}
+      mirror_(store, poll_gap, {hooks_.steady, hooks_.pause}),
+      intake_(store, intake, {hooks_.steady, hooks_.pause}) {}
 
 JobApi::Lookup JobApi::Look(const JobId& id) {
   Lookup lookup;
@@ -171,27 +175,30 @@
     return State(spec.id, known);
   }
   spec.submitted = hooks_.now();
-  const Transaction txn{
-      {{records::JobKey(spec.id), Stamp{0}}, {records::FinalKey(spec.id), Stamp{0}}},
-      {{records::JobKey(spec.id), records::ToJson(records::JobRecord{spec, false}), std::nullopt}}};
-  for (int i = 0; i < kTries; ++i) {
-    const TxnResult result = store_.Commit(txn);
-    if (result.end == StoreEnd::kOk)
+  const Intake::Answer taken = intake_.Accept(spec);
+  switch (taken.end) {
+    case Intake::End::kAccepted:
       return Answer(201, wire::JobAnswerToJson({spec.id, wire::kQueued, 0, 0}, false));
-    if (result.end == StoreEnd::kConflict) return State(spec.id, Look(spec.id));
-    if (result.end == StoreEnd::kBad) return Unavailable("the record was refused");
-    hooks_.pause(kPause);
+    case Intake::End::kKnown:
+      return State(spec.id, Look(spec.id));
+    case Intake::End::kBad:
+      return Unavailable("the record was refused");
+    case Intake::End::kUnavailable:
+      break;
   }
-  return Unavailable("the state service does not answer");
+  return Unavailable("the state service takes no more now", taken.come_back);
 }
 
 HttpResponse JobApi::Cancel(const std::string& text) {
   if (!IsJobId(text)) return Error(404, "no such job");
   const JobId id{text};
+  Backoff backoff(kFirstPause, kLongestPause);
+  std::minstd_rand random(std::random_device{}());
+  const auto wait = [&] { hooks_.pause(backoff.Next(random)); };
   for (int i = 0; i < kTries; ++i) {
     const Lookup lookup = Look(id);
     if (lookup.found == Found::kUnavailable) {
-      hooks_.pause(kPause);
+      wait();
       continue;
     }
     if (lookup.found != Found::kLive) {
@@ -202,19 +209,20 @@
     }
     const GetResult got = store_.Get(records::JobKey(id));
     if (got.end != StoreEnd::kOk) {
-      hooks_.pause(kPause);
+      wait();
       continue;
     }
     if (!got.entry || !got.entry->value.is_object()) continue;  // over meanwhile
     Json record = got.entry->value;
     record["cancelled"] = true;
     // Conditional on the job's stamp, so that it can't pass a job just done.
+    intake_.Charge();
     const TxnResult result =
         store_.Commit({{{records::JobKey(id), got.entry->stamp}},
                        {{records::JobKey(id), std::move(record), std::nullopt}}});
     if (result.end == StoreEnd::kOk)
       return Answer(200, wire::JobAnswerToJson({id, wire::kCancelled, 0, 0}, false));
-    if (result.end != StoreEnd::kConflict) hooks_.pause(kPause);
+    if (result.end != StoreEnd::kConflict) wait();
   }
   return Unavailable("the state service does not answer");
 }
--- a/src/app/job_api.h
+++ b/src/app/job_api.h
@@ -11,6 +11,7 @@
 
 #include "app/job_mirror.h"
 #include "core/scheduler.h"
+#include "intake/intake.h"
 #include "net/http_server.h"
 #include "state/records.h"
 #include "state/store.h"
@@ -46,7 +47,7 @@
 
   // `poll_gap` lies at least between two reads for polls.
   JobApi(Store& store, std::vector<Team> teams, std::vector<std::string> zones, Seconds poll_gap,
-         Hooks hooks);
+         Intake::Options intake, Hooks hooks);
 
   HttpResponse Submit(const std::string& body);
   HttpResponse Query(const std::string& id);
@@ -71,6 +72,7 @@
   Hooks hooks_;
   FinalCache finals_;
   JobMirror mirror_;
+  Intake intake_;
   std::mutex counts_mutex_;
   std::unordered_map<std::string, JobCounts> counts_;
 };
--- /dev/null
+++ b/src/intake/intake.cc
@@ -0,0 +1,127 @@
+#include "intake/intake.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+#include "state/records.h"
+
+namespace magpie {
+namespace {
+constexpr Seconds kFirstPause{0.05};
+constexpr Seconds kLongestPause{0.5};
+constexpr Seconds kSoonest{1};  // users come back after this at the least
+constexpr Seconds kLatest{15};  // later than this is a guess
+constexpr double kSpread = 0.5;
+constexpr int kMostTries = 4;
+}  // namespace
+
+Intake::Intake(Store& store, Options options, Hooks hooks)
+    : store_(store),
+      options_(options),
+      hooks_(std::move(hooks)),
+      pace_(options.pace),
+      backoff_(kFirstPause, kLongestPause),
+      random_(std::random_device{}()) {}
+
+void Intake::Finish(Entry& entry, End end) {
+  entry.over = true;
+  entry.end = end;
+}
+
+// When those that wait now are written, at the present rate; spread, so that those
+// sent away together do not come back together.
+Seconds Intake::ComeBack() {
+  const Seconds ahead = pace_.Ahead(static_cast<double>(waiting_.size() + 1), hooks_.now());
+  std::uniform_real_distribution<double> spread(1, 1 + kSpread);
+  return std::min(kLatest, spread(random_) * std::max(kSoonest, ahead));
+}
+
+Intake::Answer Intake::Accept(const JobSpec& spec) {
+  Entry entry;
+  entry.id = spec.id;
+  entry.record = records::ToJson(records::JobRecord{spec, false});
+  entry.bytes = entry.record.dump().size() + 4 * records::JobKey(spec.id).size() + 128;
+  std::unique_lock lock(mutex_);
+  const Instant now = hooks_.now();
+  entry.until = now + options_.patience;
+  if (pace_.Ahead(static_cast<double>(waiting_.size() + 1), now) > options_.patience)
+    return {End::kUnavailable, ComeBack()};
+  waiting_.push_back(&entry);
+  while (!entry.over) {
+    if (writing_)
+      over_.wait(lock);
+    else
+      WriteSome(lock);
+  }
+  return {entry.end, entry.end == End::kUnavailable ? ComeBack() : Seconds{}};
+}
+
+void Intake::Charge() {
+  std::lock_guard lock(mutex_);
+  pace_.Charge(1, hooks_.now());
+}
+
+// One transaction for the first that wait, or a pause before it.
+void Intake::WriteSome(std::unique_lock<std::mutex>& lock) {
+  writing_ = true;
+  const auto sleep = [&](Seconds pause) {
+    lock.unlock();
+    hooks_.sleep(pause);
+    lock.lock();
+  };
+  const Seconds early = pace_.Take(1, hooks_.now());
+  if (early.v > 0) {
+    sleep(early);
+  } else {
+    std::vector<Entry*> batch;
+    Transaction txn;
+    std::size_t bytes = 0;
+    while (!waiting_.empty() && batch.size() < options_.most_jobs) {
+      Entry* next = waiting_.front();
+      if (!batch.empty() &&
+          (next->alone || batch.front()->alone || bytes + next->bytes > options_.most_bytes ||
+           pace_.Take(1, hooks_.now()).v > 0))
+        break;
+      waiting_.pop_front();
+      batch.push_back(next);
+      bytes += next->bytes;
+      txn.when.push_back({records::JobKey(next->id), Stamp{0}});
+      txn.when.push_back({records::FinalKey(next->id), Stamp{0}});
+      txn.apply.push_back({records::JobKey(next->id), next->record, std::nullopt});
+    }
+    lock.unlock();
+    const TxnResult result = store_.Commit(txn);
+    lock.lock();
+    const std::set<std::string> failed(result.failed.begin(), result.failed.end());
+    if (result.end == StoreEnd::kOk) backoff_.Reset();
+    // Those without an answer yet wait again, before all others.
+    for (auto it = batch.rbegin(); it != batch.rend(); ++it) {
+      Entry& entry = **it;
+      if (result.end == StoreEnd::kOk) Finish(entry, End::kAccepted);
+      if (result.end == StoreEnd::kConflict &&
+          (batch.size() == 1 || failed.contains(records::JobKey(entry.id)) ||
+           failed.contains(records::FinalKey(entry.id))))
+        Finish(entry, End::kKnown);
+      if (result.end == StoreEnd::kBad && batch.size() == 1) Finish(entry, End::kBad);
+      entry.alone |= result.end == StoreEnd::kBad ||
+                     (result.end == StoreEnd::kConflict && result.failed.empty());
+      const bool again = ++entry.tries < kMostTries || result.end == StoreEnd::kConflict;
+      if (!entry.over && !again) Finish(entry, End::kUnavailable);
+      if (!entry.over) waiting_.push_front(&entry);
+    }
+    if (result.over_rate) pace_.Refused(hooks_.now());
+    if (result.end == StoreEnd::kRefused || result.end == StoreEnd::kUnknown)
+      sleep(backoff_.Next(random_));
+  }
+  const Instant now = hooks_.now();
+  std::erase_if(waiting_, [&](Entry* entry) {
+    if (entry->until >= now) return false;
+    Finish(*entry, End::kUnavailable);
+    return true;
+  });
+  writing_ = false;
+  over_.notify_all();
+}
+
+}  // namespace magpie
--- /dev/null
+++ b/src/intake/intake.h
@@ -0,0 +1,76 @@
+// Makes accepted jobs durable, many in one transaction. Its one rule: a job is
+// accepted only by a transaction that found neither its record nor its end, and
+// who can't be served soon is told so at once, with the time to come back.
+// Threads that submit meet here; one of them writes for all that wait.
+#pragma once
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <random>
+
+#include "core/types.h"
+#include "governor/governor.h"
+#include "state/store.h"
+
+namespace magpie {
+
+class Intake {
+ public:
+  enum class End {
+    kAccepted,
+    kKnown,        // there is a record of it already
+    kBad,          // the state service calls its record malformed
+    kUnavailable,  // not accepted here and now; come back later
+  };
+  struct Answer {
+    End end = End::kUnavailable;
+    Seconds come_back;  // with kUnavailable
+  };
+  struct Options {
+    std::size_t most_jobs = 16;  // in one transaction
+    std::size_t most_bytes = 48UL * 1024;
+    Seconds patience{1};                  // nobody waits much longer than this
+    Governor::Options pace{.most = 1e9};  // of the changes of all jobs
+  };
+  struct Hooks {
+    std::function<Instant()> now;
+    std::function<void(Seconds)> sleep;
+  };
+
+  Intake(Store& store, Options options, Hooks hooks);
+
+  // Blocks until the job is durable, or can't be soon.
+  Answer Accept(const JobSpec& spec);
+  // A change that goes before all jobs, by another way: it takes of the same rate.
+  void Charge();
+
+ private:
+  struct Entry {
+    JobId id;
+    Json record;
+    std::size_t bytes = 0;
+    Instant until;  // then it is given up
+    int tries = 0;
+    bool alone = false;  // it, or one with it, was called malformed
+    bool over = false;
+    End end = End::kUnavailable;
+  };
+  void WriteSome(std::unique_lock<std::mutex>& lock);
+  static void Finish(Entry& entry, End end);
+  Seconds ComeBack();
+
+  Store& store_;
+  Options options_;
+  Hooks hooks_;
+  std::mutex mutex_;  // guards all below; not held across I/O
+  std::condition_variable over_;
+  Governor pace_;
+  Backoff backoff_;
+  std::minstd_rand random_;
+  std::deque<Entry*> waiting_;  // owned by the threads that wait
+  bool writing_ = false;
+};
+
+}  // namespace magpie
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -53,7 +53,8 @@
       response = {kServerError, R"({"error":"internal"})"};
     }
     res.status = response.status;
-    if (response.retry_after) res.set_header("Retry-After", "1");
+    if (response.retry_after_s > 0)
+      res.set_header("Retry-After", std::to_string(response.retry_after_s));
     if (response.brief && !FewOpen()) {
       res.set_header("Connection", "close");
       close_after = true;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -34,8 +34,8 @@
 struct HttpResponse {
   int status = 200;
   std::string body;
-  bool retry_after = false;  // tells the user when to come back
-  bool brief = false;        // the connection is kept only if few are open
+  std::uint32_t retry_after_s = 0;  // when the user may come back; 0: it is not told
+  bool brief = false;               // the connection is kept only if few are open
 };
 
 class HttpServer : private httplib::Server {
--- a/src/state/http_store.cc
+++ b/src/state/http_store.cc
@@ -79,7 +79,8 @@
 
 TxnResult HttpStore::Commit(const Transaction& txn) {
   const HttpAnswer answer = client_.Post("/txn", TransactionToJson(txn).dump());
-  if (answer.status != 200 && answer.status != 409) return {EndOf(answer), {}, {}};
+  if (answer.status != 200 && answer.status != 409)
+    return {EndOf(answer), {}, {}, answer.answered && answer.status == 429};
   TxnResult result = Parse<TxnResult>(answer, [](const Json& o, TxnResult& r) {
     r.tick = {o.at("tick").get<std::uint64_t>()};
     if (o.contains("failed"))
--- a/src/state/plan_writer.cc
+++ b/src/state/plan_writer.cc
@@ -4,10 +4,18 @@
 
 namespace magpie {
 namespace {
-constexpr Seconds kPause{0.2};
-constexpr Seconds kLongPause{1};
+constexpr Seconds kFirstPause{0.1};
+constexpr Seconds kLongestPause{1};
 }  // namespace
 
+PlanWriter::PlanWriter(Store& store, Hooks hooks)
+    : store_(store),
+      hooks_(std::move(hooks)),
+      backoff_(kFirstPause, kLongestPause),
+      random_(std::random_device{}()) {}
+
+void PlanWriter::Wait() { hooks_.pause(backoff_.Next(random_)); }
+
 WriteOutcome PlanWriter::Write(const WritePlan& plan, const records::Leadership& leadership) {
   const Transaction txn = records::ToTransaction(plan, leadership);
   WriteOutcome outcome;
@@ -34,14 +42,14 @@
       }
       case StoreEnd::kBad:
         spdlog::error("the state service calls a transaction malformed");
-        hooks_.pause(kLongPause);
+        hooks_.pause(kLongestPause);
         break;
       case StoreEnd::kUnknown:
         uncertain = true;
-        hooks_.pause(kPause);
+        Wait();
         break;
       case StoreEnd::kRefused:
-        hooks_.pause(kPause);
+        Wait();
         break;
     }
   }
@@ -69,7 +77,7 @@
   while (hooks_.still_leading()) {
     const GetResult got = store_.Get(key);
     if (got.end != StoreEnd::kOk) {
-      hooks_.pause(kPause);
+      Wait();
       continue;
     }
     if (!got.entry || got.entry->value != expected || got.entry->stamp <= before)
--- a/src/state/plan_writer.h
+++ b/src/state/plan_writer.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include <functional>
+#include <random>
 #include <vector>
 
 #include "core/scheduler.h"
+#include "governor/governor.h"
 #include "state/records.h"
 #include "state/store.h"
 
@@ -31,7 +33,7 @@
     std::function<bool()> still_leading;
     std::function<void(Seconds)> pause;
   };
-  PlanWriter(Store& store, Hooks hooks) : store_(store), hooks_(std::move(hooks)) {}
+  PlanWriter(Store& store, Hooks hooks);
 
   // Repeats the same transaction until it is certain whether it was carried
   // out. Each try has the same conditions, so only one can ever land, and a
@@ -39,11 +41,14 @@
   WriteOutcome Write(const WritePlan& plan, const records::Leadership& leadership);
 
  private:
+  void Wait();
   std::optional<Stamp> Landed(const WritePlan& plan);
   void Reload(const WritePlan& plan, WriteOutcome& outcome);
 
   Store& store_;
   Hooks hooks_;
+  Backoff backoff_;  // between the tries of one write
+  std::minstd_rand random_;
 };
 
 }  // namespace magpie
--- a/src/state/store.h
+++ b/src/state/store.h
@@ -64,6 +64,7 @@
   StoreEnd end = StoreEnd::kUnknown;
   Stamp tick;
   std::vector<std::string> failed;
+  bool over_rate = false;  // refused for the rate alone (429): there is no outage
 };
 
 struct LeaseResult {
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -52,9 +52,9 @@
   }
 
   TxnResult Commit(const Transaction& txn) override {
-    if (outage) return {StoreEnd::kRefused, {}, {}};
+    if (outage) return {StoreEnd::kRefused, {}, {}, false};
     const Fault fault = std::exchange(next_commit, Fault::kNone);
-    if (fault == Fault::kRefuse) return {StoreEnd::kRefused, {}, {}};
+    if (fault == Fault::kRefuse) return {StoreEnd::kRefused, {}, {}, false};
     if (fault == Fault::kLandLater) {
       late_.push_back(txn);
       return {};
--- /dev/null
+++ b/tests/intake_test.cc
@@ -0,0 +1,199 @@
+// Stories of many submissions at once: one transaction for many jobs, none lost
+// and none accepted twice whatever becomes of the answers, none held back.
+#include "intake/intake.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <thread>
+
+#include "fake_store.h"
+#include "governor/governor.h"
+#include "made_job.h"
+#include "state/records.h"
+
+namespace magpie::testing {
+namespace {
+
+// The store as several threads use it; the first commit waits until the others
+// have come, so that what is told does not hang on the threads' luck.
+class MeetingStore : public FakeStore {
+ public:
+  explicit MeetingStore(std::function<void()> before_first) : before_(std::move(before_first)) {}
+  TxnResult Commit(const Transaction& txn) override {
+    if (first_.exchange(false)) before_();
+    sizes.push_back(txn.apply.size());
+    return FakeStore::Commit(txn);
+  }
+  std::vector<std::size_t> sizes;  // of the transactions, in changes
+
+ private:
+  std::function<void()> before_;
+  std::atomic<bool> first_ = true;
+};
+
+class IntakeStory : public ::testing::Test {
+ protected:
+  Intake::Hooks Hooks() {
+    return {[this] { return now; }, [this](Seconds s) { now = now + s; }};
+  }
+  Intake::Answer One(Intake& intake, const std::string& id) { return intake.Accept(MakeJob(id)); }
+
+  Instant now{100};
+  FakeStore store;
+};
+
+TEST_F(IntakeStory, ThoseThatComeWhileOneIsWrittenShareTheNextTransaction) {
+  constexpr int kThreads = 20;
+  std::atomic<int> come = 0;
+  MeetingStore meeting([&] {
+    while (come < kThreads) std::this_thread::yield();
+  });
+  Intake intake(meeting, {.most_jobs = 16}, {[] { return Instant{1}; }, [](Seconds) {}});
+  std::atomic<int> accepted = 0;
+  std::vector<std::thread> threads;
+  for (int i = 0; i < kThreads; ++i)
+    threads.emplace_back([&, i] {
+      ++come;
+      accepted += One(intake, "j-" + std::to_string(i)).end == Intake::End::kAccepted ? 1 : 0;
+    });
+  for (std::thread& t : threads) t.join();
+  EXPECT_EQ(accepted, kThreads);
+  EXPECT_EQ(meeting.Range(records::kJobs, "", 100).entries.size(), std::size_t{kThreads});
+  for (const std::size_t size : meeting.sizes) EXPECT_LE(size, 16U);
+  EXPECT_LT(meeting.sizes.size(), std::size_t{kThreads}) << "some shared a transaction";
+}
+
+TEST_F(IntakeStory, AKnownJobIsNotAcceptedOnceMore) {
+  Intake intake(store, {}, Hooks());
+  EXPECT_EQ(One(intake, "j-1").end, Intake::End::kAccepted);
+  EXPECT_EQ(One(intake, "j-1").end, Intake::End::kKnown);
+  EXPECT_EQ(One(intake, "j-2").end, Intake::End::kAccepted);
+}
+
+// A job that is over has no record among the live ones: its end must be asked for too.
+TEST_F(IntakeStory, AJobThatIsOverIsKnown) {
+  store.Commit({{}, {{records::FinalKey({"j-1"}), Json{{"mood", "done"}}, std::nullopt}}});
+  Intake intake(store, {}, Hooks());
+  EXPECT_EQ(One(intake, "j-1").end, Intake::End::kKnown);
+}
+
+TEST_F(IntakeStory, AWriteWhoseAnswerIsLostIsFoundToBeDurable) {
+  Intake intake(store, {}, Hooks());
+  store.next_commit = FakeStore::Fault::kLoseAnswer;
+  EXPECT_EQ(One(intake, "j-1").end, Intake::End::kKnown) << "the user is told its state";
+  EXPECT_EQ(store.Range(records::kJobs, "", 10).entries.size(), 1U);
+}
+
+// It lands minutes later, after the job has been accepted by another try.
+TEST_F(IntakeStory, ALateTransactionChangesNothing) {
+  Intake intake(store, {}, Hooks());
+  store.next_commit = FakeStore::Fault::kLandLater;
+  EXPECT_EQ(One(intake, "j-1").end, Intake::End::kAccepted);
+  const Stamp before = store.Get(records::JobKey({"j-1"})).entry->stamp;
+  store.Deliver();
+  EXPECT_EQ(store.Get(records::JobKey({"j-1"})).entry->stamp, before);
+}
+
+TEST_F(IntakeStory, InAnOutageTheUserIsToldToComeBack) {
+  Intake intake(store, {}, Hooks());
+  store.outage = true;
+  const Instant begin = now;
+  const Intake::Answer answer = One(intake, "j-1");
+  EXPECT_EQ(answer.end, Intake::End::kUnavailable);
+  EXPECT_GE(answer.come_back, Seconds{1});
+  EXPECT_LT((now - begin).v, 2.5) << "answered soon";
+  store.outage = false;
+  EXPECT_EQ(One(intake, "j-1").end, Intake::End::kAccepted) << "an outage slows nothing down";
+}
+
+TEST_F(IntakeStory, WhoCanNotBeServedSoonIsToldAtOnceAndWhen) {
+  Intake intake(store, {.pace = {.most = 10, .begin = 0.2}}, Hooks());
+  EXPECT_EQ(One(intake, "j-1").end, Intake::End::kAccepted);
+  EXPECT_EQ(One(intake, "j-2").end, Intake::End::kAccepted);
+  for (int i = 0; i < 4; ++i) intake.Charge();  // cancellations go first
+  const Instant begin = now;
+  const Intake::Answer answer = One(intake, "j-3");
+  EXPECT_EQ(answer.end, Intake::End::kUnavailable);
+  EXPECT_EQ(now, begin) << "not held back";
+  EXPECT_GE(answer.come_back, Seconds{2});
+  now = now + Seconds{5};
+  EXPECT_EQ(One(intake, "j-3").end, Intake::End::kAccepted);
+}
+
+TEST(GovernorStory, RefusalsHalveTheRateOnceAndWaitingRaisesIt) {
+  Governor governor({.most = 100, .begin = 0.2, .least = 0.05, .growth = 0.1, .deaf = {0.5}});
+  Instant now{1};
+  EXPECT_EQ(governor.rate(), 20);
+  governor.Refused(now);
+  governor.Refused(now + Seconds{0.1});  // of the same flood
+  EXPECT_NEAR(governor.rate(), 10, 1) << "halved once; it has begun to grow again";
+  for (int i = 0; i < 20; ++i) governor.Refused(now = now + Seconds{1});
+  EXPECT_GE(governor.rate(), 5) << "something is always tried";
+  // Work that waits all the time raises it to the most, and no further.
+  for (int i = 0; i < 4000; ++i) {
+    now = now + Seconds{0.01};
+    while (governor.Take(1, now).v == 0) {
+    }
+  }
+  EXPECT_NEAR(governor.rate(), 100, 1);
+  // Idle, it goes back to where it began: others may need the rate now.
+  for (int i = 0; i < 200; ++i) EXPECT_EQ(governor.Take(0, now = now + Seconds{1}).v, 0);
+  EXPECT_NEAR(governor.rate(), 20, 1);
+}
+
+TEST(GovernorStory, InAnySecondNoMoreGoesThanTheRateAndOneBurst) {
+  Governor governor({.most = 50, .begin = 0.5, .growth = 0});
+  int went = 0;
+  for (Instant now{1}; now < Instant{11}; now = now + Seconds{0.01})
+    while (governor.Take(1, now).v == 0) ++went;
+  EXPECT_LE(went, 25 * 11 + 1);
+  EXPECT_GE(went, 25 * 10);
+}
+
+// Two controllers and a service that takes 30 a second: nobody tells them of each other.
+TEST(GovernorStory, TwoThatKnowNothingOfEachOtherShareARate) {
+  Governor::Options options{.most = 30, .begin = 0.25, .least = 0.02, .growth = 0.03};
+  std::vector<Governor> governors(2, Governor(options));
+  double left = 30;
+  int served[2] = {0, 0};
+  int refused = 0;
+  for (Instant now{1}; now < Instant{201}; now = now + Seconds{0.01}) {
+    left = std::min(30.0, left + 0.3);
+    for (int i = 0; i < 2; ++i)
+      while (governors[i].Take(1, now).v == 0) {
+        if (left < 1) {
+          ++refused;
+          governors[i].Refused(now);
+          break;
+        }
+        left -= 1;
+        ++served[i];
+      }
+  }
+  EXPECT_GT(served[0] + served[1], 200 * 30 * 0.8);
+  EXPECT_GT(std::min(served[0], served[1]), 200 * 30 * 0.25);
+  EXPECT_LT(refused, 0.02 * (served[0] + served[1]));
+}
+
+TEST(BackoffStory, PausesGrowDifferAndAreBounded) {
+  std::minstd_rand random(7);
+  Backoff a({0.1}, {2});
+  Backoff b({0.1}, {2});
+  bool differ = false;
+  double longest = 0;
+  for (int i = 0; i < 50; ++i) {
+    const double pause = a.Next(random).v;
+    differ |= pause != b.Next(random).v;
+    EXPECT_GE(pause, 0.1);
+    EXPECT_LE(pause, 2);
+    longest = std::max(longest, pause);
+  }
+  EXPECT_TRUE(differ);
+  EXPECT_GT(longest, 1);
+  a.Reset();
+  EXPECT_LE(a.Next(random).v, 0.3);
+}
+
+}  // namespace
+}  // namespace magpie::testing
--- a/tests/world.h
+++ b/tests/world.h
@@ -33,7 +33,7 @@
         label_(label),
         membership(store, label, label + "-run", {4}),
         core(options, {}),
-        api(store, options.teams, {"a", "b"}, Seconds{0},
+        api(store, options.teams, {"a", "b"}, Seconds{0}, {},
             {[] { return Types(); }, [this](const JobId& id) { return core.Counts(id); },
              [] { return WallTime{1000}; }, [](Seconds) {}, [] { return Instant{1}; }}),
         writer_(store,
