--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -99,13 +99,12 @@
 }
 
 // The controllers' jobs share the changes that the state service takes. Each begins
-// with its part of half of them, and learns the rest.
+// with its part of them, as if all of them took jobs, and learns the rest.
 Intake::Options IntakeOptions(const Settings& s) {
-  constexpr double kJobsShare = 0.5;
   Intake::Options o;
   o.most_jobs = s.txn_ops;
   o.pace.most = s.write_rps;
-  o.pace.begin = kJobsShare / static_cast<double>(s.others.size() + 1);
+  o.pace.begin = 1 / static_cast<double>(s.others.size() + 1);
   return o;
 }
 
