A start's steps in one log line, and stories of what is ordered in it

Need: the people on call ask how far a start after all controllers went down has come. src/recovery: reached the state service, leads, read, first order, half and 99% of the recorded machines squared, calm; tools/regress starts tells them from logs. Stories: what workers do already is not ordered, only what differs is, a second crash while squaring starts over.

--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -99,12 +99,13 @@
 }
 
 // The controllers' jobs share the changes that the state service takes. Each begins
-// with its part of them, as if all of them took jobs, and learns the rest.
+// with twice its part of them, since users seldom come to all of them alike, and
+// learns the rest.
 Intake::Options IntakeOptions(const Settings& s) {
   Intake::Options o;
   o.most_jobs = s.txn_ops;
   o.pace.most = s.write_rps;
-  o.pace.begin = 1 / static_cast<double>(s.others.size() + 1);
+  o.pace.begin = std::min(1.0, 2 / static_cast<double>(s.others.size() + 1));
   return o;
 }
 
@@ -452,6 +453,7 @@
     return;
   }
   state_reached_ = SteadyNow();
+  timeline_.Note(Timeline::Step::kReached, state_reached_);
   if (leader_label_ != view.leader) {
     reach_.Forget();
     redirects_.Forget();
@@ -461,7 +463,9 @@
   if (view.leadership == leadership_) return;
   scheduler_.Stop();
   leadership_ = view.leadership;
+  timeline_.Restart();
   if (leadership_) {
+    timeline_.Note(Timeline::Step::kLeads, SteadyNow());
     spdlog::info("leading with epoch {}", leadership_->epoch.v);
     scheduler_.Start(leadership_->epoch,
                      settings_.label + "-" + std::to_string(leadership_->epoch.v) + "-",
@@ -593,6 +597,7 @@
   std::lock_guard lock(mutex_);
   if (leadership_ != leadership) return false;
   scheduler_.FinishLoad(SteadyNow());
+  timeline_.Note(Timeline::Step::kRead, SteadyNow());
   const magpie::Status status = scheduler_.GetStatus();
   spdlog::info("took over {} jobs, {} tasks bound", status.jobs, status.bound);
   tick_due_ = true;
@@ -662,6 +667,30 @@
   for (std::size_t i = 0; i < threads; ++i) push_wake_.notify_one();
 }
 
+// Once, when a start has come to its end: one line of JSON that tells its steps.
+std::optional<std::string> Controller::StartLine(Instant now) {
+  if (timeline_.calm()) return std::nullopt;
+  const Squaring squaring = scheduler_.GetSquaring();
+  if (squaring.orders > 0) timeline_.Note(Timeline::Step::kFirstOrder, now);
+  timeline_.Squared(squaring.squared, squaring.machines, now);
+  if (!timeline_.At(Timeline::Step::kMost) || !squaring.quiet) return std::nullopt;
+  timeline_.Note(Timeline::Step::kCalm, now);
+  Json line{{"node", settings_.label},
+            {"epoch", leadership_ ? leadership_->epoch.v : epoch_.v},
+            {"machines", squaring.machines},
+            {"orders", squaring.orders}};
+  for (std::size_t i = 0; i < Timeline::kSteps; ++i) {
+    const auto step = static_cast<Timeline::Step>(i);
+    const auto at = timeline_.At(step);
+    const std::string name = std::string(Timeline::NameOf(step)) + "_s";
+    if (at)
+      line[name] = std::round(1000 * at->v) / 1000;
+    else
+      line[name] = nullptr;
+  }
+  return Json{{"start", line}}.dump();
+}
+
 // Ticks come at once when something happened, but take a bounded share of the
 // time: the more there is to plan, the further they lie apart.
 void Controller::TickLoop() {
@@ -684,14 +713,16 @@
     const Instant end = SteadyNow();
     next = end + std::max(kLeastTickGap, ((1 - kTickShare) / kTickShare) * (end - begin));
     const std::vector<std::string> notes = scheduler_.TakeNotes();
+    const std::optional<std::string> start = StartLine(end);
     std::optional<Served::Table> served;
     if (begin >= served_next) {
       served_next = begin + kServedEvery;
       served = scheduler_.ServedTable(WallNow());
     }
-    if (!notes.empty() || served) {
+    if (!notes.empty() || served || start) {
       lock.unlock();
       for (const std::string& note : notes) spdlog::debug("{}", note);
+      if (start) spdlog::info("{}", *start);
       if (served) spdlog::info("{}", ServedLine(settings_.label, *served));
       lock.lock();
     }
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -10,6 +10,7 @@
 #include <thread>
 #include <vector>
 
+#include "app/clock.h"
 #include "app/job_api.h"
 #include "app/membership.h"
 #include "app/presence.h"
@@ -19,6 +20,7 @@
 #include "core/scheduler.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "recovery/timeline.h"
 #include "state/http_store.h"
 
 namespace magpie {
@@ -63,6 +65,7 @@
   void WakePushes();
   void Adopt(const Membership::View& view);
   bool StillLeading(const Leadership& leadership);
+  std::optional<std::string> StartLine(Instant now);
 
   Settings settings_;
   UsersPresent users_;
@@ -105,6 +108,7 @@
   Instant state_reached_;  // when the state service last answered
   Instant state_failed_;   // when it last did not
   bool tick_due_ = false;
+  Timeline timeline_{SteadyNow()};  // until calm
 };
 
 }  // namespace magpie
--- a/src/core/dialogue.cc
+++ b/src/core/dialogue.cc
@@ -79,6 +79,7 @@
   m.suspected = false;
   m.failed_probes = 0;
   if (!m.up) {
+    if (std::exchange(m.recorded, false)) --unsquared_;
     m.up = true;
     wants_tick_ = true;
     m.idle_since = now;
@@ -222,8 +223,8 @@
       commands.push_back({CommandKind::kStop, entry.task, entry.attempt, t->grace});
     }
   }
-  if (m.notice_until) return commands;
   for (const Held& held : m.tasks) {
+    if (m.notice_until) break;
     if (full()) break;
     if (held.job->cancelled) continue;
     const Task& t = held.task();
@@ -231,6 +232,7 @@
       commands.push_back({CommandKind::kRun, held.id(), t.attempt, {}});
   }
   (void)now;
+  orders_ += commands.size();
   return commands;
 }
 
--- a/src/core/machine_care.cc
+++ b/src/core/machine_care.cc
@@ -24,6 +24,7 @@
   }
   Machine* m = FindMachine(id);
   if (m == nullptr) return;
+  if (m->recorded) --unsquared_;
   const std::vector<Held> tasks = m->tasks;
   for (const Held& held : tasks) Unbind(*held.job, held.index, now);
   roster_.Leave(*m);
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -47,6 +47,8 @@
   touched_ = unsettled_ = true;
   rooms_.clear();
   served_.Clear();
+  recorded_ = unsquared_ = 0;
+  orders_ = 0;
   busy_ = {};
   array_room_ = 0;
   array_cpus_ = {};
@@ -200,7 +202,10 @@
     CountInZone(*m);
     m->born = now;
     m->idle_since = now;
+    m->recorded = !m->tasks.empty();
+    recorded_ += m->recorded ? 1 : 0;
   }
+  unsquared_ = recorded_;
   loaded_ = true;
   loaded_at_ = now;
   for (auto& [id, report] : early_) {
@@ -642,6 +647,11 @@
   return all;
 }
 
+Squaring Scheduler::GetSquaring() const {
+  return {recorded_, recorded_ - unsquared_, orders_,
+          loaded_ && push_wanted_.empty() && dirty_.empty() && !write_open_};
+}
+
 Served::Table Scheduler::ServedTable(WallTime wall) const {
   Served::Table table = served_.table();
   for (const auto& [id, job] : jobs_) {
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -113,6 +113,14 @@
   std::uint32_t running = 0;
 };
 
+// How far the squaring of machines with records has come since the takeover.
+struct Squaring {
+  std::size_t machines = 0;  // that hold tasks by the records
+  std::size_t squared = 0;   // heard of, dead or returned since
+  std::uint64_t orders = 0;  // commands given to workers
+  bool quiet = false;        // no command and no write waits
+};
+
 struct Status {
   std::size_t jobs = 0;
   std::size_t pending = 0;
@@ -209,6 +217,7 @@
   std::optional<JobCounts> Counts(const JobId& id) const;
   std::map<JobId, JobCounts> AllCounts() const;
   Status GetStatus() const;
+  Squaring GetSquaring() const;
   // How classes and teams are served since the takeover.
   Served::Table ServedTable(WallTime wall) const;
 
@@ -283,6 +292,7 @@
     bool spot = false;
     std::optional<std::size_t> kind;  // number in kinds_, once known
     bool up = false;                  // has reported since the takeover
+    bool recorded = false;  // held tasks by the records at the takeover, and is not squared
     bool listed_running = false;
     bool listed_failed = false;
     bool releasing = false;  // a release was sent or is about to be
@@ -552,6 +562,9 @@
   Instant move_next_;
   std::vector<std::string> notes_;
   Served served_;
+  std::size_t recorded_ = 0;  // machines with tasks at the takeover
+  std::size_t unsquared_ = 0;
+  std::uint64_t orders_ = 0;
 };
 
 }  // namespace magpie
--- a/src/governor/governor.h
+++ b/src/governor/governor.h
@@ -19,7 +19,7 @@
     double most = 1;       // calls a second that the service takes from all
     double begin = 0.1;    // part of it with which we begin, and to which we go back
     double least = 0.01;   // part of it that is always tried
-    double growth = 0.06;  // part of it by which we grow in a second of waiting
+    double growth = 0.12;  // part of it by which we grow in a second of waiting
     Seconds deaf{0.5};     // refusals so soon after one belong to it
   };
 
--- /dev/null
+++ b/src/recovery/timeline.h
@@ -0,0 +1,45 @@
+// When a controller that starts, or takes over, came how far: what the people on
+// call ask first after all controllers went down. Its one rule: each step is noted
+// once, when it is first reached, and a new leadership begins at the reading.
+// Pure: the caller tells the time.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <optional>
+
+#include "core/types.h"
+
+namespace magpie {
+
+class Timeline {
+ public:
+  enum class Step : std::uint8_t {
+    kReached,     // the state service has answered
+    kLeads,       // with an epoch of its own
+    kRead,        // all records
+    kFirstOrder,  // the first command to a worker was given
+    kHalf,        // of the machines that hold tasks by the records are squared
+    kMost,        // 99% of them
+    kCalm,        // the same, and no command and no write waits
+  };
+  static constexpr std::size_t kSteps = 7;
+  static const char* NameOf(Step step);
+
+  explicit Timeline(Instant listening) : listening_(listening) {}
+
+  void Note(Step step, Instant now);
+  // A machine is squared once its report, its death or its return is certain.
+  void Squared(std::size_t squared, std::size_t all, Instant now);
+  // Forgets all from `kLeads` on: another leadership, or none.
+  void Restart();
+  // Seconds since it listened; none if not reached.
+  std::optional<Seconds> At(Step step) const;
+  bool calm() const { return At(Step::kCalm).has_value(); }
+
+ private:
+  Instant listening_;
+  std::array<std::optional<Instant>, kSteps> at_{};
+};
+
+}  // namespace magpie
--- a/tests/regress_test.py
+++ b/tests/regress_test.py
@@ -209,6 +209,23 @@
         code, text = self.run_tool("days")
         self.assertEqual((code, "d.toml" in text), (2, True))
 
+    def test_starts_tell_each_step_and_pass_over_what_is_damaged(self):
+        start = {f"{step}_s": 1.5 for step in regress.STEPS}
+        start.update(node="nestbox-0", machines=12, orders=3, half_s=None)
+        log = self.root / "log"
+        log.write_text("noise\n0.2 info " + json.dumps({"start": start})
+                       + '\n{"start": {"node": 1}}\n{"start": {\n')
+        code, text = self.run_tool("starts", str(log))
+        self.assertEqual(code, 0, text)
+        self.assertIn("1 starts", text)
+        self.assertIn("nestbox-0", text)
+        self.assertEqual(text.count("not a start"), 2, text)
+        log.write_text("noise")
+        self.assertEqual(self.run_tool("starts", str(log))[0], 1)
+        self.assertEqual(self.run_tool("starts", str(self.root / "none"))[0], 2)
+        self.assertEqual(self.run_tool("starts")[0], 2)
+        self.assertEqual(self.run_tool("show", "log")[0], 2)
+
 
 if __name__ == "__main__":
     unittest.main()
