--- a/src/intake/intake.cc
+++ b/src/intake/intake.cc
@@ -11,7 +11,7 @@
 constexpr Seconds kFirstPause{0.05};
 constexpr Seconds kLongestPause{0.5};
 constexpr Seconds kSoonest{1};  // users come back after this at the least
-constexpr Seconds kLatest{15};  // later than this is a guess
+constexpr Seconds kLatest{5};   // later than this is a guess: the rate is being learned
 constexpr double kSpread = 0.5;
 constexpr int kMostTries = 4;
 }  // namespace
