--- a/src/intake/intake.cc
+++ b/src/intake/intake.cc
@@ -24,6 +24,12 @@
       backoff_(kFirstPause, kLongestPause),
       random_(std::random_device{}()) {}
 
+Intake::Entry::Entry(const JobSpec& spec, Instant give_up)
+    : id(spec.id),
+      record(records::ToJson(records::JobRecord{spec, false})),
+      bytes(record.dump().size() + 4 * records::JobKey(id).size() + 128),
+      until(give_up) {}
+
 void Intake::Finish(Entry& entry, End end) {
   entry.over = true;
   entry.end = end;
@@ -38,13 +44,9 @@
 }
 
 Intake::Answer Intake::Accept(const JobSpec& spec) {
-  Entry entry;
-  entry.id = spec.id;
-  entry.record = records::ToJson(records::JobRecord{spec, false});
-  entry.bytes = entry.record.dump().size() + 4 * records::JobKey(spec.id).size() + 128;
-  std::unique_lock lock(mutex_);
   const Instant now = hooks_.now();
-  entry.until = now + options_.patience;
+  Entry entry(spec, now + options_.patience);
+  std::unique_lock lock(mutex_);
   if (pace_.Ahead(static_cast<double>(waiting_.size() + 1), now) > options_.patience)
     return {End::kUnavailable, ComeBack()};
   waiting_.push_back(&entry);
--- a/src/intake/intake.h
+++ b/src/intake/intake.h
@@ -47,11 +47,15 @@
   void Charge();
 
  private:
+  // Lives with the thread that waits for it; others know where it is.
   struct Entry {
+    Entry(const JobSpec& spec, Instant give_up);
+    Entry(const Entry&) = delete;
+    Entry& operator=(const Entry&) = delete;
     JobId id;
     Json record;
-    std::size_t bytes = 0;
-    Instant until;  // then it is given up
+    std::size_t bytes;  // of what it adds to a transaction, at most
+    Instant until;      // then it is given up
     int tries = 0;
     bool alone = false;  // it, or one with it, was called malformed
     bool over = false;
