--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -48,19 +48,14 @@
 
 void Sleep(Seconds s) { std::this_thread::sleep_for(duration<double>(s.v)); }
 
-std::minstd_rand& Random() {
-  thread_local std::minstd_rand random(std::random_device{}());
-  return random;
-}
-
 // A pause that differs from thread to thread, so that those who wait do not meet.
 void Pause(Seconds s) {
   std::uniform_real_distribution<double> spread(0.7, 1.3);
-  Sleep({s.v * spread(Random())});
+  Sleep({s.v * spread(ThreadRandom())});
 }
 
 // The pause before a failed call is tried again.
-void PauseLonger(Backoff& backoff) { Sleep(backoff.Next(Random())); }
+void PauseLonger(Backoff& backoff) { Sleep(backoff.Next(ThreadRandom())); }
 
 // Of the loops that can't go on without an answer of the state service or the
 // cloud: short at first, since most failures are, and never a storm.
@@ -488,7 +483,7 @@
     const Membership::View& view = membership.Step();
     Adopt(view);
     if (view.reached) backoff.Reset();
-    const Seconds step = view.reached ? kStep : backoff.Next(Random());
+    const Seconds step = view.reached ? kStep : backoff.Next(ThreadRandom());
     std::unique_lock lock(membership_mutex_);
     membership_wake_.wait_for(lock, duration<double>(step.v),
                               [this] { return membership_nudged_; });
--- a/src/app/job_api.cc
+++ b/src/app/job_api.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <random>
 
 #include "core/fleet.h"
 
@@ -193,8 +192,7 @@
   if (!IsJobId(text)) return Error(404, "no such job");
   const JobId id{text};
   Backoff backoff(kFirstPause, kLongestPause);
-  std::minstd_rand random(std::random_device{}());
-  const auto wait = [&] { hooks_.pause(backoff.Next(random)); };
+  const auto wait = [&] { hooks_.pause(backoff.Next(ThreadRandom())); };
   for (int i = 0; i < kTries; ++i) {
     const Lookup lookup = Look(id);
     if (lookup.found == Found::kUnavailable) {
@@ -215,8 +213,8 @@
     if (!got.entry || !got.entry->value.is_object()) continue;  // over meanwhile
     Json record = got.entry->value;
     record["cancelled"] = true;
-    // Conditional on the job's stamp, so that it can't pass a job just done.
     intake_.Charge();
+    // Conditional on the job's stamp, so that it can't pass a job just done.
     const TxnResult result =
         store_.Commit({{{records::JobKey(id), got.entry->stamp}},
                        {{records::JobKey(id), std::move(record), std::nullopt}}});
--- a/src/core/dialogue.cc
+++ b/src/core/dialogue.cc
@@ -56,6 +56,7 @@
   m.reply_open = false;  // the report before this one was answered or given up
   Absorb(m, report, false, now);
   reply.commands = CommandsFor(m, now);
+  orders_ += reply.commands.size();
   for (const Command& c : reply.commands)
     if (c.kind == CommandKind::kRun) m.reply_open = true;
   m.push_again = false;
@@ -223,8 +224,8 @@
       commands.push_back({CommandKind::kStop, entry.task, entry.attempt, t->grace});
     }
   }
+  if (m.notice_until) return commands;
   for (const Held& held : m.tasks) {
-    if (m.notice_until) break;
     if (full()) break;
     if (held.job->cancelled) continue;
     const Task& t = held.task();
@@ -232,7 +233,6 @@
       commands.push_back({CommandKind::kRun, held.id(), t.attempt, {}});
   }
   (void)now;
-  orders_ += commands.size();
   return commands;
 }
 
@@ -252,6 +252,7 @@
     }
     Push push{m.id, m.addr, m.session, m.token, CommandsFor(m, now)};
     if (push.commands.empty()) continue;
+    orders_ += push.commands.size();
     m.push_open = true;
     return push;
   }
--- a/src/core/planning.cc
+++ b/src/core/planning.cc
@@ -109,14 +109,13 @@
       all.emplace_back(target, target);
     }
     std::sort(all.begin(), all.end());
-    Due due{{all.front().first - age.v}, {}, false, {}, {longest}, false};
+    Due due{{all.front().first - age.v}, {}, {}, {longest}, false};
     if (job.spec.kind == JobKind::kService) return due;
     due.overdue = age.v >= kForgotten * all.back().first;
     for (const auto& [target, until] : all) {
       if (due.targets.empty()) due.target = {target - age.v};
       if (age.v <= until) due.targets.push_back({target - age.v});
     }
-    due.late = due.targets.empty() && !due.overdue;
     return due;
   };
   Due due = tightest(targets);
@@ -166,7 +165,7 @@
     const Seconds work = (1 / part) * WorkLeft(*w->job, w->due.run);
     if (w->due.overdue) {
       overdue = overdue + work;
-    } else if (w->due.late) {
+    } else if (w->due.targets.empty()) {
       w->put_off = true;
       w->order = work;
       late = late + work;
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -391,7 +391,6 @@
   struct Due {
     Seconds target;       // from now
     Seconds rent_target;  // the same without the guarantee, which no boot can meet
-    bool late = false;    // all of its targets have passed
     // Those that have not passed, the tightest first; none of a service.
     std::vector<Seconds> targets;
     Seconds run;           // on the largest type
--- a/src/governor/governor.cc
+++ b/src/governor/governor.cc
@@ -9,6 +9,11 @@
 constexpr double kHalf = 0.5;
 }  // namespace
 
+std::minstd_rand& ThreadRandom() {
+  thread_local std::minstd_rand random(std::random_device{}());
+  return random;
+}
+
 Governor::Governor(Options options)
     : options_(options), rate_(options.begin * options.most), tokens_(rate_ * kBurst.v) {}
 
--- a/src/governor/governor.h
+++ b/src/governor/governor.h
@@ -46,6 +46,9 @@
   Instant refused_{-1e18};
 };
 
+// For pauses: each thread's own, seeded once.
+std::minstd_rand& ThreadRandom();
+
 // The pauses between the tries of one call: they grow, and differ from caller to
 // caller, so that those refused together don't knock together again.
 class Backoff {
--- a/src/intake/intake.cc
+++ b/src/intake/intake.cc
@@ -21,8 +21,7 @@
       options_(options),
       hooks_(std::move(hooks)),
       pace_(options.pace),
-      backoff_(kFirstPause, kLongestPause),
-      random_(std::random_device{}()) {}
+      backoff_(kFirstPause, kLongestPause) {}
 
 Intake::Entry::Entry(const JobSpec& spec, Instant give_up)
     : id(spec.id),
@@ -40,7 +39,7 @@
 Seconds Intake::ComeBack() {
   const Seconds ahead = pace_.Ahead(static_cast<double>(waiting_.size() + 1), hooks_.now());
   std::uniform_real_distribution<double> spread(1, 1 + kSpread);
-  return std::min(kLatest, spread(random_) * std::max(kSoonest, ahead));
+  return std::min(kLatest, spread(ThreadRandom()) * std::max(kSoonest, ahead));
 }
 
 Intake::Answer Intake::Accept(const JobSpec& spec) {
@@ -114,7 +113,7 @@
     }
     if (result.over_rate) pace_.Refused(hooks_.now());
     if (result.end == StoreEnd::kRefused || result.end == StoreEnd::kUnknown)
-      sleep(backoff_.Next(random_));
+      sleep(backoff_.Next(ThreadRandom()));
   }
   const Instant now = hooks_.now();
   std::erase_if(waiting_, [&](Entry* entry) {
--- a/src/intake/intake.h
+++ b/src/intake/intake.h
@@ -8,7 +8,6 @@
 #include <deque>
 #include <functional>
 #include <mutex>
-#include <random>
 
 #include "core/types.h"
 #include "governor/governor.h"
@@ -72,7 +71,6 @@
   std::condition_variable over_;
   Governor pace_;
   Backoff backoff_;
-  std::minstd_rand random_;
   std::deque<Entry*> waiting_;  // owned by the threads that wait
   bool writing_ = false;
 };
--- a/src/state/plan_writer.cc
+++ b/src/state/plan_writer.cc
@@ -9,12 +9,9 @@
 }  // namespace
 
 PlanWriter::PlanWriter(Store& store, Hooks hooks)
-    : store_(store),
-      hooks_(std::move(hooks)),
-      backoff_(kFirstPause, kLongestPause),
-      random_(std::random_device{}()) {}
+    : store_(store), hooks_(std::move(hooks)), backoff_(kFirstPause, kLongestPause) {}
 
-void PlanWriter::Wait() { hooks_.pause(backoff_.Next(random_)); }
+void PlanWriter::Wait() { hooks_.pause(backoff_.Next(ThreadRandom())); }
 
 WriteOutcome PlanWriter::Write(const WritePlan& plan, const records::Leadership& leadership) {
   const Transaction txn = records::ToTransaction(plan, leadership);
--- a/src/state/plan_writer.h
+++ b/src/state/plan_writer.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <functional>
-#include <random>
 #include <vector>
 
 #include "core/scheduler.h"
@@ -48,7 +47,6 @@
   Store& store_;
   Hooks hooks_;
   Backoff backoff_;  // between the tries of one write
-  std::minstd_rand random_;
 };
 
 }  // namespace magpie
