--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <list>
 #include <random>
 
@@ -35,6 +36,7 @@
 constexpr Seconds kProbeTimeout{1};
 constexpr Seconds kCountsEvery{2};
 constexpr Seconds kCountsKept{8};
+constexpr Seconds kServedEvery{30};  // the line of how all are served
 constexpr Seconds kStepAgain{0.25};  // when the state service refused
 constexpr double kTickShare = 0.25;  // of the time that a tick may take
 constexpr Seconds kLeastTickGap{0.05};
@@ -99,6 +101,23 @@
 // How many machines may be probed at a time.
 std::size_t ProbeThreads(const Settings& s) { return ThreadsFor(s, 1.0 / 16, 16, 96); }
 
+// One line of JSON: how each class and each team is served since the takeover.
+std::string ServedLine(const std::string& leader, const Served::Table& table) {
+  const auto rows = [](const std::map<std::string, Served::Row>& of) {
+    Json all = Json::object();
+    for (const auto& [name, row] : of)
+      all[name] = {{"accepted", row.accepted}, {"started", row.started},
+                   {"done", row.done},         {"withdrawn", row.withdrawn},
+                   {"stopped", row.stopped},   {"open", row.open},
+                   {"waiting", row.waiting},   {"oldest_wait_s", std::round(row.oldest_wait.v)}};
+    return all;
+  };
+  return Json{
+      {"served",
+       {{"leader", leader}, {"classes", rows(table.classes)}, {"teams", rows(table.teams)}}}}
+      .dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
 HttpResponse Plain(int status, const char* body = "{}") { return {status, body}; }
 
 }  // namespace
@@ -616,6 +635,7 @@
 void Controller::TickLoop() {
   std::unique_lock lock(mutex_);
   Instant next;
+  Instant served_next;
   for (;;) {
     tick_wake_.wait_for(lock, duration<double>(scheduler_.loaded() ? kTick.v : 2.0),
                         [this] { return tick_due_; });
@@ -632,9 +652,15 @@
     const Instant end = SteadyNow();
     next = end + std::max(kLeastTickGap, ((1 - kTickShare) / kTickShare) * (end - begin));
     const std::vector<std::string> notes = scheduler_.TakeNotes();
-    if (!notes.empty()) {
+    std::optional<Served::Table> served;
+    if (begin >= served_next) {
+      served_next = begin + kServedEvery;
+      served = scheduler_.ServedTable(WallNow());
+    }
+    if (!notes.empty() || served) {
       lock.unlock();
       for (const std::string& note : notes) spdlog::debug("{}", note);
+      if (served) spdlog::info("{}", ServedLine(settings_.label, *served));
       lock.lock();
     }
     write_wake_.notify_one();
--- a/src/core/dialogue.cc
+++ b/src/core/dialogue.cc
@@ -141,6 +141,7 @@
     const bool running = entry.mood == TaskMood::kRunning;
     const bool begun = running && !t.running;
     if (begun) t.since = now;
+    if (begun && !std::exchange(job->begun, true)) served_.Count(job->spec, &Served::Row::started);
     t.running = running;
     if (begun) ExpectEnd(*job, entry.task.index);
     if (running) NoteOverrun(*job, entry.task.index, now);
--- a/src/core/machine_care.cc
+++ b/src/core/machine_care.cc
@@ -181,10 +181,8 @@
   LookSoon();
   for (const Held& held : m.tasks) {
     const JobSpec& spec = held.job->spec;
-    Task& t = held.task();
-    if (spec.kind != JobKind::kArray || spec.checkpoint.v <= 0 || t.want_stop) continue;
-    t.want_stop = true;
-    t.grace = spec.save + Seconds{1};
+    if (spec.kind != JobKind::kArray || spec.checkpoint.v <= 0 || held.task().want_stop) continue;
+    StopTask(held, spec.save + Seconds{1});
   }
   WantPush(m);
 }
@@ -337,15 +335,14 @@
   const Seconds left = *m.notice_until - now;
   for (const Held& held : m.tasks) {
     const Job* job = held.job;
-    Task& t = held.task();
+    const Task& t = held.task();
     if (t.want_stop || t.state != TaskState::kBound) continue;
     const bool ends_in_time =
         job->spec.kind == JobKind::kArray && t.running && EndOf(*job, t, m, now) - now < left;
     if (ends_in_time) continue;
     const bool saves = job->spec.checkpoint.v > 0;
     if (saves && left > job->spec.save + 2.0 * options_.report) continue;  // it runs on for now
-    t.want_stop = true;
-    t.grace = saves ? job->spec.save + Seconds{1} : Seconds{0};
+    StopTask(held, saves ? job->spec.save + Seconds{1} : Seconds{0});
     WantPush(m);
   }
 }
@@ -402,11 +399,7 @@
     m->draining = true;
     roster_.Watch(*m);
     Note("drain " + m->id.v);
-    for (const Held& held : m->tasks) {
-      Task& t = held.task();
-      t.want_stop = true;
-      t.grace = held.job->spec.save + Seconds{1};
-    }
+    for (const Held& held : m->tasks) StopTask(held, held.job->spec.save + Seconds{1});
     WantPush(*m);
     if (moved >= most) break;
   }
--- a/src/core/planning.cc
+++ b/src/core/planning.cc
@@ -499,9 +499,7 @@
     ++made;
     for (const Held& held : offer.victims) {
       const Job& other = *held.job;
-      Task& t = held.task();
-      t.want_stop = true;
-      t.grace = other.spec.checkpoint.v > 0 ? other.spec.save + Seconds{1} : Seconds{0};
+      StopTask(held, other.spec.checkpoint.v > 0 ? other.spec.save + Seconds{1} : Seconds{0});
       if (options_.notes) Note("stop " + other.spec.id.v + " for " + job.spec.id.v);
     }
     WantPush(*offer.machine);
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -46,6 +46,7 @@
   gone_.clear();
   touched_ = unsettled_ = true;
   rooms_.clear();
+  served_.Clear();
   busy_ = {};
   array_room_ = 0;
   array_cpus_ = {};
@@ -111,6 +112,7 @@
   job.cancelled = cancelled;
   job.image = ImageNumber(spec.image);
   job.shape = ShapeOf(spec);
+  served_.Count(spec, &Served::Row::accepted);
   changed_.push_back(spec.id);
   wants_tick_ = true;
   job.tasks.resize(spec.tasks);
@@ -388,6 +390,14 @@
   }
 }
 
+// The job goes on elsewhere.
+void Scheduler::StopTask(const Held& held, Seconds grace) {
+  Task& t = held.task();
+  t.want_stop = true;
+  t.grace = grace;
+  served_.Count(held.job->spec, &Served::Row::stopped);
+}
+
 // Bindings first, since tasks wait for them, by priority and then by age: after
 // many machines died, hundreds wait for a few changes a second. Then jobs that
 // are over, which users wait for; then single ends, which can wait when changes
@@ -581,6 +591,8 @@
         job->tasks[i].state = TaskState::kEnding;
         Unbind(*job, i, now);
       }
+    served_.Count(job->spec,
+                  final.mood == FinalMood::kDone ? &Served::Row::done : &Served::Row::withdrawn);
     DropJob(final.job);
   }
 }
@@ -630,6 +642,22 @@
   return all;
 }
 
+Served::Table Scheduler::ServedTable(WallTime wall) const {
+  Served::Table table = served_.table();
+  for (const auto& [id, job] : jobs_) {
+    const bool over = job->cancelled || job->done == job->spec.tasks;
+    if (over) continue;
+    const bool runs = CountsOf(*job).running > 0;
+    for (Served::Row* row : {&table.classes[job->spec.job_class], &table.teams[job->spec.team]}) {
+      ++row->open;
+      if (!runs) ++row->waiting;
+      if (!job->pending.empty())
+        row->oldest_wait = std::max(row->oldest_wait, wall - job->spec.submitted);
+    }
+  }
+  return table;
+}
+
 Status Scheduler::GetStatus() const {
   Status s;
   s.places_looked_at = places_looked_at_;
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -30,6 +30,7 @@
 #include "core/run_time_table.h"
 #include "core/shelf.h"
 #include "core/types.h"
+#include "served/served.h"
 #include "triage/triage.h"
 
 namespace magpie {
@@ -208,6 +209,8 @@
   std::optional<JobCounts> Counts(const JobId& id) const;
   std::map<JobId, JobCounts> AllCounts() const;
   Status GetStatus() const;
+  // How classes and teams are served since the takeover.
+  Served::Table ServedTable(WallTime wall) const;
 
  private:
   struct Machine;
@@ -256,6 +259,7 @@
     bool urgent = false;  // bindings wait to be written
     std::map<std::string, std::uint32_t> in_zone;
     bool reload = false;  // its record has changed under a write
+    bool begun = false;   // a task of it was seen to run
     JobPace pace;
     // Expected run times by number of kind, as of a version of the table.
     mutable std::vector<double> runs;
@@ -355,6 +359,7 @@
   std::uint32_t ImageNumber(const std::string& image);
   void SetDone(Job& job, std::uint32_t index, Instant now);
   void StopAll(Job& job);
+  void StopTask(const Held& held, Seconds grace);
   std::vector<JobId> WriteOrder(Instant now) const;
   struct Draft;
   bool AddUnsaved(Draft& draft, Job& job);
@@ -546,6 +551,7 @@
   std::map<std::string, Recent> recent_;
   Instant move_next_;
   std::vector<std::string> notes_;
+  Served served_;
 };
 
 }  // namespace magpie
--- a/tests/regress_test.py
+++ b/tests/regress_test.py
@@ -155,6 +155,60 @@
             self.assertIn("another run", text)
         self.assertEqual(self.run_tool("fleet")[0], 0)
 
+    # The leaders' lines of a day: the first leads until 30 done, the second begins anew.
+    @staticmethod
+    def line(leader, **teams):
+        return "0.1 info " + json.dumps({"served": {"leader": leader, "teams": teams}}) + "\n"
+
+    def test_teams_are_added_up_over_leaders(self):
+        row = {"done": 30, "withdrawn": 0, "open": 50, "waiting": 40}
+        log = self.line("a", red=dict(row, done=10)) + self.line("a", red=row) + "noise\n"
+        log += self.line("b", red={"done": 10, "withdrawn": 10, "open": 50, "waiting": 50})
+        self.assertEqual(regress.served_teams(log), {"red": 0.5})
+        # The same controller leads anew: what it had done before still counts.
+        log += self.line("b", red={"done": 0, "withdrawn": 0, "open": 50, "waiting": 0})
+        self.assertEqual(regress.served_teams(log), {"red": 1.0})
+        self.assertEqual(regress.served_teams("nothing of it"), {})
+
+    def test_days_fail_on_a_broken_rule_an_end_or_less_than_half_served(self):
+        (self.root / "days").mkdir()
+        site = '[nodes]\nzones = ["a"]\n[[jobs]]\nname = "sort"\n'
+        (self.root / "kit/more/fleet/f.toml").write_text(site)
+        self.write("days/d.toml", 'faults = [ { class = "sort" }, { zone = "a" } ]')
+        self.write("days/elsewhere.toml", 'faults = [ { class = "mail" } ]')
+        bench = self.root / "kit" / regress.BENCH
+        bench.write_text("""#!/usr/bin/env python3
+import pathlib, sys
+print(pathlib.Path("line").read_text())
+pathlib.Path(sys.argv[sys.argv.index("--report") + 1]).write_text(pathlib.Path("made").read_text())
+""")
+        team = {"done": 6, "withdrawn": 0, "open": 4, "waiting": 4}
+        sort = {"jobs": 12, "started": 10, "done": 6, "cancelled": 2}
+
+        def report(rules=0, panics=0, **row):
+            return {"rules_broken": {"total": rules, "by_kind": {"quota": rules} if rules else {}},
+                    "classes": {"sort": dict(sort, **row)}, "node_stats": [{"panics": panics}],
+                    "fleet": {"tasks_lost": 0, "tasks_killed_by_lease": 0},
+                    "state": {"refused": 0, "requests": 9}}
+
+        for made, row, code, told in (
+                (report(), team, 0, "sort 0.60"),
+                (report(done=4), team, 1, "sort 0.40 served"),
+                (report(done=0, up=0.9), team, 0, "red 0.60"),
+                (report(done=0, up=0.4), team, 1, "sort 0.40 served"),
+                (report(), dict(team, waiting=6, open=6), 0, "red 0.50"),
+                (report(), dict(team, waiting=8, open=8), 1, "red 0.43 served"),
+                (report(rules=1), team, 1, "quota 1"), (report(panics=1), team, 1, "1 ended"),
+                ("{", team, 1, "no report")):
+            self.write("made", made)
+            self.write("line", self.line("a", red=row))
+            got, text = self.run_tool("days")
+            self.assertEqual((got, told in text), (code, True), text)
+            self.assertNotIn("elsewhere", text)
+        self.write("days/d.toml", "faults = [")
+        code, text = self.run_tool("days")
+        self.assertEqual((code, "d.toml" in text), (2, True))
+
 
 if __name__ == "__main__":
     unittest.main()
