Who is to blame for a failed task is told by evidence on both sides

Need: jobs submitted with a mistake fail on every machine until they are cancelled. A job counted as healthy as long as any of its tasks ran elsewhere, so a wide wrong array had a healthy machine cordoned for each of its failures. Ruled out: counting a job's errors alone (a sick machine that draws all its tasks looks the same); a longer pause after each error (holds up healthy jobs).

--- a/src/core/dialogue.cc
+++ b/src/core/dialogue.cc
@@ -8,9 +8,6 @@
 namespace {
 constexpr std::uint64_t kLowMask = (1ULL << kTokenLowBits) - 1;
 constexpr std::size_t kCommandsPerMessage = 64;
-constexpr double kErrorPauseMost = 30;
-constexpr std::uint32_t kErrorsToCordon = 2;
-constexpr std::uint32_t kFaultyJobErrors = 6;  // then the job is to blame
 constexpr double kPushRetry = 1;
 constexpr double kProbeEvery = 2;
 constexpr double kProbeAgain = 0.5;      // after one that failed
@@ -147,12 +144,12 @@
     t.running = running;
     if (begun) ExpectEnd(*job, entry.task.index);
     if (running) NoteOverrun(*job, entry.task.index, now);
+    if (running && blame_.Doubts(job->serial)) Judge(blame_.Ran(job->serial, m.id, now - t.since));
     return;
   }
   if (t.state == TaskState::kEnding) return;
   if (entry.cause == EndCause::kDone) {
-    m.errors_in_row = 0;
-    job->errors = 0;
+    Judge(blame_.Ended(job->serial, m.id));
     // What began under an earlier leader has run for longer than we know.
     if (t.running && t.timed && !job->cancelled) {
       if (!t.overran) NotePace(m, *job, now - t.since, true);
@@ -170,7 +167,7 @@
   // While the worker lists the attempt as ended, a late `run` of it does
   // nothing; and it is made to forget it only once no such command is open.
   if (entry.cause == EndCause::kError) {
-    NoteError(m, *job, now);
+    Judge(blame_.Failed(job->serial, m.id, t.running ? now - t.since : Seconds{}, now));
   } else if (entry.cause == EndCause::kUnknown) {
     job->not_before = now + Seconds{2};  // its description is not there yet
   } else if (entry.cause == EndCause::kNoRoom) {
@@ -179,24 +176,16 @@
   Unbind(*job, entry.task.index, now);
 }
 
-// A machine is faulty when the tasks of healthy jobs fail on it; a job that
-// fails wherever it runs says nothing about its machines. A job whose tasks
-// are done or run elsewhere is healthy, and one failure of such a job is
-// enough: a machine that fails what it gets at once would draw ever more.
-void Scheduler::NoteError(Machine& m, Job& job, Instant now) {
-  bool healthy = job.done > 0;
-  for (const Task& t : job.tasks) healthy |= t.running && t.machine != &m;
-  ++job.errors;
-  if (healthy || job.errors < kFaultyJobErrors) {
-    ++m.errors_in_row;
-    if (healthy || m.errors_in_row >= kErrorsToCordon) m.cordoned = true;
-    roster_.Watch(m);
-    Touch();
+// What the evidence says: faulty machines get no more work.
+void Scheduler::Judge(const Blame::Verdict& verdict) {
+  for (const MachineId& id : verdict.faulty) {
+    Machine* m = FindMachine(id);
+    if (m == nullptr || std::exchange(m->cordoned, true)) continue;
+    Note("faulty " + id.v);
+    roster_.Watch(*m);
     LookSoon();
   }
-  if (healthy) return;
-  const double pause = std::min(kErrorPauseMost, job.errors < 3 ? 0.0 : std::exp2(job.errors - 3));
-  job.not_before = now + Seconds{pause};
+  if (!verdict.faulty.empty() || !verdict.doubted.empty()) Touch();
 }
 
 std::vector<Command> Scheduler::CommandsFor(Machine& m, Instant now) {
--- a/src/core/machine_care.cc
+++ b/src/core/machine_care.cc
@@ -22,6 +22,7 @@
       gone_order_.pop_front();
     }
   }
+  blame_.Forget(id);
   Machine* m = FindMachine(id);
   if (m == nullptr) return;
   if (m->recorded) --unsquared_;
--- a/src/core/planning.cc
+++ b/src/core/planning.cc
@@ -135,7 +135,8 @@
 }
 
 // For how long the job's waiting tasks would take all the room that they may use.
-Seconds Scheduler::WorkLeft(const Job& job, Seconds run) const {
+Seconds Scheduler::WorkLeft(const Waiting& waiting) const {
+  const Job& job = *waiting.job;
   if (rooms_.empty()) return {};  // nothing is known before the first plan
   const Resources& each = job.spec.each;
   double at_once = 0;
@@ -148,7 +149,8 @@
     if (each.memory_gb > 0) fit = std::min(fit, room.free.memory_gb / each.memory_gb);
     at_once += fit;
   }
-  return {static_cast<double>(job.pending.size()) * run.v / std::max(at_once, 1.0)};
+  const auto tasks = std::min<std::size_t>(job.pending.size(), waiting.most);
+  return {static_cast<double>(tasks) * waiting.due.run.v / std::max(at_once, 1.0)};
 }
 
 // Of one rank's waiting jobs, tells those that can be in time along with what goes
@@ -162,7 +164,7 @@
   for (Waiting* w = begin; w != end; ++w) {
     w->order = w->due.target;
     if (w->job->spec.kind == JobKind::kService) continue;
-    const Seconds work = (1 / part) * WorkLeft(*w->job, w->due.run);
+    const Seconds work = (1 / part) * WorkLeft(*w);
     if (w->due.overdue) {
       overdue = overdue + work;
     } else if (w->due.targets.empty()) {
@@ -234,7 +236,7 @@
 // would make more of the others late: under a load that is too much, each late job
 // would else make the next one late. What is put off goes by the work that is left,
 // so that the room is not spread over arrays of which hardly any ends.
-std::vector<Scheduler::Waiting> Scheduler::Ordered(WallTime wall) {
+std::vector<Scheduler::Waiting> Scheduler::Ordered(Instant now, WallTime wall) {
   std::vector<Waiting> waiting;
   for (auto it = waiting_.begin(); it != waiting_.end();) {
     Job* job = *it;
@@ -243,7 +245,11 @@
       continue;
     }
     ++it;
-    waiting.push_back({job, DueOf(*job, wall), RankOf(*job), false, {}});
+    // A job that may be wrong itself takes neither room nor machines from others.
+    const std::uint32_t most = blame_.MostAtOnce(job->serial);
+    if (most <= job->bound || now < blame_.NotBefore(job->serial)) continue;
+    waiting.push_back({job, DueOf(*job, wall), RankOf(*job), false, most, {}});
+    if (most != Blame::kAll) waiting.back().most -= job->bound;
   }
   const auto sort = [&](const auto& key) {
     std::sort(waiting.begin(), waiting.end(),
@@ -396,6 +402,9 @@
       from = std::max(now + Seconds{1}, m->born + kind.type->boot);
     } else if (silent || m->suspected) {
       continue;
+    } else if (!blame_.quiet() && now < blame_.DoubtUntil(id)) {
+      plan.unsettled = true;
+      continue;
     }
     Slot slot{m.get(), *m->kind, Lane(Room(*m, *kind.type), from), m->up && !m->addr.empty(),
               !m->tasks.empty()};
@@ -687,14 +696,17 @@
   std::uint32_t* alike = plan.may_rent ? &plan.alike[job.shape] : nullptr;
   Places places(*this, plan, job, due.target, now);
   std::size_t waiting = 0;
-  while (job.pending.size() > waiting && budget > 0 && WithinLimit(job, plan.use)) {
+  const bool limited = planned.most != Blame::kAll;
+  std::uint32_t left = planned.most;
+  while (job.pending.size() > waiting && budget > 0 && left > 0 && WithinLimit(job, plan.use)) {
     --budget;
+    --left;
     if (alike != nullptr && *alike > 0) --*alike;
     const auto pick = places.Pick();
     const bool in_time = pick && Slack(due.target, pick->choice, options_.weights).v >= 0;
     const bool at_once = pick && pick->choice.now;
     const bool late = !pick || Slack(due.rent_target, pick->choice, options_.weights).v < 0;
-    if (late && plan.may_rent && !at_once) {
+    if (late && plan.may_rent && !at_once && (!limited || !pick)) {
       if (PlanRental(plan, job, due.rent_target, now,
                      pick ? std::optional(pick->choice.wait + pick->choice.run) : std::nullopt)) {
         plan.use[job.spec.team] += job.spec.each;
@@ -704,8 +716,9 @@
     }
     if (!in_time && !at_once) {
       // What will be late all the same stops nothing.
-      if (!planned.put_off) MakeRoom(plan, job, now);
-    } else if (!in_time && service && pick->choice.wait.v > 0 && MakeRoom(plan, job, now)) {
+      if (!planned.put_off && !limited) MakeRoom(plan, job, now);
+    } else if (!in_time && service && !limited && pick->choice.wait.v > 0 &&
+               MakeRoom(plan, job, now)) {
       return;  // rather at once where the image is, than here after a fetch
     }
     if (!pick) return;
@@ -930,13 +943,14 @@
     LookAfterMachines(now);
   }
   if (fleet_.types().empty()) return;
-  const std::vector<Waiting> ordered = Ordered(wall);
+  const std::vector<Waiting> ordered = Ordered(now, wall);
   // With nothing waiting, a plan is made again only if it could differ.
   if (ordered.empty() && (now < full_next_ || (!touched_ && !unsettled_))) return;
   Plan plan = StartPlan(now, ordered);
   if (plan.may_rent)
     for (const Waiting& w : ordered)
-      plan.alike[w.job->shape] += static_cast<std::uint32_t>(w.job->pending.size());
+      plan.alike[w.job->shape] +=
+          std::min(w.most, static_cast<std::uint32_t>(w.job->pending.size()));
   int budget = kMostPlanned;
   bool spared = false;
   for (const Waiting& w : ordered) {
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -47,6 +47,7 @@
   touched_ = unsettled_ = true;
   rooms_.clear();
   served_.Clear();
+  blame_.Clear();
   recorded_ = unsquared_ = 0;
   orders_ = 0;
   busy_ = {};
@@ -189,6 +190,9 @@
     for (std::uint32_t i : job->pending)
       if (job->tasks[i].state == TaskState::kPending) pending.push_back(i);
     job->pending.swap(pending);
+    Attempt most;
+    for (const Task& t : job->tasks) most = std::max(most, t.attempt);
+    if (job->done == 0) blame_.Recalled(job->serial, most);
     // What was there before us says what comes, but nothing of the rate.
     NoteArrival(*job, 0, now);
     job->cancelled_at = now;
@@ -225,6 +229,7 @@
   if (job == nullptr) return;
   for (Task& t : job->tasks) pages_.Leave(t.page);
   DropClaim(*job);
+  blame_.Forget(job->serial);
   by_serial_.erase(job->serial);
   waiting_.erase(job);
   jobs_.erase(id);
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -21,6 +21,7 @@
 #include <utility>
 #include <vector>
 
+#include "blame/blame.h"
 #include "core/fleet.h"
 #include "core/id_hash.h"
 #include "core/pages.h"
@@ -260,9 +261,8 @@
     std::deque<std::uint32_t> pending;
     std::uint32_t done = 0;   // durable or about to be
     std::uint32_t bound = 0;  // binding, bound or ending
-    std::uint32_t errors = 0;
-    Instant not_before;     // wait after errors
-    Instant preempt_after;  // until then, earlier victims are leaving
+    Instant not_before;       // wait after a refusal
+    Instant preempt_after;    // until then, earlier victims are leaving
     Instant arrived;
     Instant dirty_since;
     bool urgent = false;  // bindings wait to be written
@@ -321,7 +321,6 @@
     std::uint32_t arrays = 0;  // tasks of arrays that take room here
     std::vector<TaskReport> last;
     std::deque<std::pair<std::uint32_t, double>> images;  // latest first
-    std::uint32_t errors_in_row = 0;
     // Of the latest run times that tell something: from which job, and slow?
     std::deque<std::pair<JobId, bool>> pace;
   };
@@ -364,7 +363,7 @@
   Seconds ExpectOn(const Job& job, const Machine& m) const;
   void MarkDirty(Job& job, std::uint32_t index, Instant now);
   void FreeRoom(Job& job, Task& t);
-  void NoteError(Machine& m, Job& job, Instant now);
+  void Judge(const Blame::Verdict& verdict);
   void WantPush(Machine& m);
   std::uint32_t ImageNumber(const std::string& image);
   void SetDone(Job& job, std::uint32_t index, Instant now);
@@ -401,16 +400,17 @@
   struct Waiting {
     Job* job = nullptr;
     Due due;
-    std::pair<int, int> rank;  // see RankOf
-    bool put_off = false;      // it meets no target along with the others
-    Seconds order;             // by what it goes among those alike: target or work
+    std::pair<int, int> rank;          // see RankOf
+    bool put_off = false;              // it meets no target along with the others
+    std::uint32_t most = Blame::kAll;  // tasks that may be begun: see Blame
+    Seconds order;                     // by what it goes among those alike: target or work
   };
-  std::vector<Waiting> Ordered(WallTime wall);
+  std::vector<Waiting> Ordered(Instant now, WallTime wall);
   Seconds TriageRank(Waiting* begin, Waiting* end, Seconds ahead, double part) const;
   void KeepFloor(std::vector<Waiting>& waiting);
   Seconds BusyFrom(Priority priority) const;
   double HeldBelow(Priority priority) const;
-  Seconds WorkLeft(const Job& job, Seconds run) const;
+  Seconds WorkLeft(const Waiting& waiting) const;
   // A machine in the plan: one that there is, or one about to be ordered.
   struct Slot {
     Machine* machine = nullptr;
@@ -500,6 +500,7 @@
 
   Options options_;
   Fleet fleet_;
+  Blame blame_;
   RunTimeTable table_;
   Token base_;
   bool loaded_ = false;
--- a/tests/growth_test.cc
+++ b/tests/growth_test.cc
@@ -21,12 +21,6 @@
   return n;
 }
 
-std::set<MachineId> Released(const std::vector<CloudCall>& calls) {
-  std::set<MachineId> all;
-  for (const CloudCall& call : calls) all.insert(call.release.begin(), call.release.end());
-  return all;
-}
-
 // Each waiting task once looked at every machine, then each waiting job: the
 // leader fell behind for good when there were thousands of both, and a tenth of
 // 32,000 machines took 3 s to be replaced.
@@ -296,6 +290,7 @@
   Report(node, one);
   node.core.Tick(now, wall);
   EXPECT_TRUE(Released(RunCloud(node)).empty()) << "the job may be at fault";
+  Pass(3);  // until then the machine is in doubt
   Settle(node);
   Run(node, MakeJob("j-2", 3));
   Settle(node);
@@ -303,6 +298,7 @@
   FakeWorker& good = &sick == &first ? second : first;
   ASSERT_GT(good.Live(), 0U);
   sick.EndAll(EndCause::kError);
+  good.EndAll(EndCause::kDone);
   Settle(node, 1);
   Settle(node, 1);
   EXPECT_EQ(Released(RunCloud(node)), std::set<MachineId>{sick.id()});
@@ -701,6 +697,7 @@
   Settle(node);
   w.EndAll(EndCause::kError);  // its first attempt is over, and durable as bound
   Report(node, w);
+  Pass(3);  // until then the machine is in doubt
   Settle(node);
   ASSERT_TRUE(w.Has(T("j-1"))) << "bound again";
   w.End(T("j-1"), EndCause::kStopped);
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -453,6 +453,7 @@
   Settle(node);
   EXPECT_EQ(sick.Live(), 0U);
   EXPECT_EQ(healthy.Live(), 2U);
+  healthy.EndAll(EndCause::kDone);  // now it is known that the job is not at fault
   Settle(node);
   bool released = false;
   for (const CloudCall& call : RunCloud(node))
--- a/tests/world.h
+++ b/tests/world.h
@@ -24,6 +24,12 @@
           {"large", {16, 0, 64}, 60, 1, 1.0, 0.4, {20}, {"a", "b"}}};
 }
 
+inline std::set<MachineId> Released(const std::vector<CloudCall>& calls) {
+  std::set<MachineId> all;
+  for (const CloudCall& call : calls) all.insert(call.release.begin(), call.release.end());
+  return all;
+}
+
 inline std::string ToBody(const JobSpec& spec) { return wire::JobToRecord(spec).dump(); }
 
 class Node {
