Back within a fraction of a second: member key, budgets and workers that forgot

Need: a process or machine that ends may be back at once, and late copies may follow. Found: a machine that lost its numbers was taken for a late copy of itself for as long as its reports were answered, and its tasks for running; the member key was written without a condition, so a late copy could put it on a dead lease; the leader's write budget and the intake's bucket began full at each start. Ruled out: taking a lower number for a restart at once (late copies look the same); the worker is asked, and what it answers was said after we asked. What was bound there stays bound until it has seen a token above all earlier commands.

--- a/src/app/membership.cc
+++ b/src/app/membership.cc
@@ -30,8 +30,20 @@
   const LeaseResult granted = store_.Grant(life_);
   if (granted.end != StoreEnd::kOk) return false;
   lease_ = granted.lease;
-  const Transaction txn{{}, {{records::MemberKey(label_), Json{{"nonce", nonce_}}, lease_}}};
-  return store_.Commit(txn).end == StoreEnd::kOk;
+  return true;
+}
+
+// Our member key says that this run of the process lives. It is written over what was
+// read and nothing else: a copy of an earlier run's write that arrives late, or a
+// repeat of this one, must not bring back a key that goes with another lease.
+bool Membership::EnsureMember(const StoreEntry* member) {
+  if (told_ == lease_ && Field(member, "nonce") == nonce_) return true;
+  const Transaction txn{
+      {{records::MemberKey(label_), member == nullptr ? Stamp{0} : member->stamp}},
+      {{records::MemberKey(label_), Json{{"nonce", nonce_}}, lease_}}};
+  const TxnResult result = store_.Commit(txn);
+  if (result.end == StoreEnd::kOk) told_ = lease_;
+  return result.end != StoreEnd::kRefused;
 }
 
 const Membership::View& Membership::Step() {
@@ -39,7 +51,7 @@
   // at its post, so that its workers' leases go on being renewed.
   view_.reached = EnsureLease();
   if (!view_.reached) return view_;
-  // Twice at most: once to see, once more after winning the key.
+  // Once to see, once more after winning the key, and once after its epoch.
   for (int round = 0; round < 3; ++round) {
     const RangeResult range = store_.Range(records::kControl, "", kPage);
     if (range.end != StoreEnd::kOk) {
@@ -58,6 +70,7 @@
       if (epoch != nullptr && Field(epoch, "nonce") == nonce_ &&
           epoch->value.value("key", std::uint64_t{0}) == leader->stamp.v) {
         view_.leadership = records::Leadership{leader->stamp, epoch->stamp};
+        EnsureMember(Find(range.entries, records::MemberKey(label_).c_str()));
         return view_;
       }
       view_.leadership.reset();
@@ -71,7 +84,10 @@
     }
     view_.leadership.reset();
     // Free, or held by an earlier run of this very controller.
-    if (leader != nullptr && holder != label_) return view_;
+    if (leader != nullptr && holder != label_) {
+      EnsureMember(Find(range.entries, records::MemberKey(label_).c_str()));
+      return view_;
+    }
     const Stamp before = leader == nullptr ? Stamp{0} : leader->stamp;
     Transaction txn{{{records::kLeader, before}},
                     {{records::kLeader, Json{{"label", label_}, {"nonce", nonce_}}, lease_}}};
--- a/src/app/membership.h
+++ b/src/app/membership.h
@@ -28,12 +28,14 @@
 
  private:
   bool EnsureLease();
+  bool EnsureMember(const StoreEntry* member);
 
   Store& store_;
   std::string label_;
   std::string nonce_;
   Seconds life_;
   std::optional<LeaseId> lease_;
+  std::optional<LeaseId> told_;  // with which our member key was last written
   View view_;
 };
 
--- a/src/core/dialogue.cc
+++ b/src/core/dialogue.cc
@@ -8,6 +8,7 @@
 namespace {
 constexpr std::uint64_t kLowMask = (1ULL << kTokenLowBits) - 1;
 constexpr std::size_t kCommandsPerMessage = 64;
+constexpr std::uint32_t kContrary = 2;  // messages, before a worker is asked
 constexpr double kPushRetry = 1;
 constexpr double kProbeEvery = 2;
 constexpr double kProbeAgain = 0.5;      // after one that failed
@@ -22,6 +23,50 @@
   return m.seen >= m.fence && !m.push_open && !(from_push && m.reply_open);
 }
 
+// Whether a message is newer than all that the machine said before. A worker that was
+// started anew under the same name may have lost its numbers and its token, and a
+// message of the one before it may still come, so both have to agree.
+bool Scheduler::Follows(const Machine& m, const Report& report) {
+  return std::tuple(report.session, report.seq) > std::tuple(m.session, m.seq) &&
+         report.token >= m.seen;
+}
+
+// An answer is given after we asked. If the worker had told a later number by then, or
+// had seen a later token, it is not the one that it was.
+bool Scheduler::BegunAnew(const Push& push, const Report& answer) {
+  return std::tuple(answer.session, answer.seq) <= std::tuple(push.told_session, push.told_seq) ||
+         answer.token < push.told_token;
+}
+
+// The worker began anew without what it knew: its numbers, its token, its tasks. All that it had is
+// gone, but copies of commands from before may still be on their way, and nothing that it has seen
+// shuts them out. So a token above all of those is sent first, and what was bound there stays bound
+// until the worker has seen it (Conclusive); only then it is over.
+void Scheduler::ForgetsAll(Machine& m, const Report& report) {
+  Note("begun anew " + m.id.v);
+  if ((m.token.v & kLowMask) == kLowMask) {  // no token left to fence with
+    Return(m);
+    return;
+  }
+  m.token = {std::max(m.token, report.token).v + 1};
+  m.fence = m.token;
+  m.seen = report.token;
+  m.session = report.session;
+  m.seq = 0;
+  m.reply_open = false;
+  m.images.clear();
+  m.contrary = 0;
+  for (const Held& held : m.tasks) {
+    Task& t = held.task();
+    if (t.state != TaskState::kBound) continue;
+    t.want_stop = true;
+    t.running = t.timed = false;
+    NoLongerExpected(*held.job, held.index);
+  }
+  m.probe_after = {};
+  roster_.Watch(m);
+}
+
 Reply Scheduler::OnReport(const Report& report, Instant now, bool relayed) {
   Reply reply;
   // A token of a later epoch: another controller leads by now.
@@ -49,7 +94,15 @@
   }
   if (relayed && !m.relayed) m.reached = false;
   m.relayed = relayed;
-  if (std::tuple(report.session, report.seq) <= std::tuple(m.session, m.seq)) return reply;
+  if (!Follows(m, report)) {
+    // A late copy, one that was overtaken, or a worker that lost what it knew: if they
+    // go on, it is asked which.
+    if (std::tuple(report.session, report.seq) != std::tuple(m.session, m.seq)) {
+      ++m.contrary;
+      roster_.Watch(m);
+    }
+    return reply;
+  }
   m.reply_open = false;  // the report before this one was answered or given up
   Absorb(m, report, false, now);
   reply.commands = CommandsFor(m, now);
@@ -72,6 +125,7 @@
   m.session = report.session;
   m.seq = report.seq;
   m.seen = std::max(m.seen, report.token);
+  m.contrary = 0;
   if (roster_.Heard(m, now) || m.suspected) Touch();
   if (!m.relayed) roster_.HeardDirectly(m.zone, now);
   m.suspected = false;
@@ -113,7 +167,12 @@
     if (t.seen || t.state != TaskState::kBound) continue;
     // Absent for sure. A cancelled task or one told to stop is over; one of an
     // earlier session was killed; any other has not begun and is sent again.
-    if (held.job->cancelled || t.want_stop || new_session || m.notice_until) lost.push_back(held);
+    if (held.job->cancelled || t.want_stop || new_session || m.notice_until) {
+      lost.push_back(held);
+    } else if (t.running) {  // its machine was started anew: it begins once more
+      held.task().running = held.task().timed = false;
+      NoLongerExpected(*held.job, held.index);
+    }
   }
   for (const Held& held : lost) Unbind(*held.job, held.index, now);
 }
@@ -239,7 +298,7 @@
       roster_.Watch(m);
       continue;
     }
-    Push push{m.id, m.addr, m.session, m.token, CommandsFor(m, now)};
+    Push push{m.id, m.addr, m.session, m.token, CommandsFor(m, now), m.session, m.seq, m.seen};
     if (push.commands.empty()) continue;
     orders_ += push.commands.size();
     m.push_open = true;
@@ -251,7 +310,7 @@
 bool Scheduler::DueForProbe(const Machine& m, Instant now) const {
   if (m.addr.empty() || m.push_open || m.releasing || now < m.probe_after) return false;
   // Its token is behind: it may be reporting to an earlier leader.
-  if (m.up && (m.seen < m.fence || m.relayed)) return true;
+  if (m.up && (m.seen < m.fence || m.relayed || m.contrary >= kContrary)) return true;
   // One that is still booting will report by itself.
   if (!m.up) return m.listed_running || !m.tasks.empty();
   return now - m.heard > ProbeAfter(now);
@@ -314,7 +373,8 @@
     Machine& m = *found;
     m.push_open = true;
     m.probe_after = now + Seconds{kProbeEvery};
-    return Push{m.id, m.addr, std::max<std::uint64_t>(m.session, 1), m.token, {}};
+    return Push{m.id,  m.addr, std::max<std::uint64_t>(m.session, 1), m.token, {}, m.session,
+                m.seq, m.seen};
   }
   return std::nullopt;
 }
@@ -364,9 +424,9 @@
   // A later leader's token must never become ours: with it, what a deposed
   // leader still believes would be obeyed.
   if (EpochOf(report->token) > EpochOf(base_)) return;
+  if (BegunAnew(push, *report)) ForgetsAll(m, *report);
   m.token = std::max(m.token, report->token);
-  if (std::tuple(report->session, report->seq) > std::tuple(m.session, m.seq))
-    Absorb(m, *report, true, now);
+  if (Follows(m, *report)) Absorb(m, *report, true, now);
   // Refused for its session, which is known now: try again at once.
   if (push.commands.empty() && m.seen < m.token) {
     m.probe_after = now;
--- a/src/core/machine_care.cc
+++ b/src/core/machine_care.cc
@@ -257,7 +257,7 @@
 
 bool Scheduler::Ordinary(const Machine& m) const {
   return m.up && m.seen >= m.fence && !m.relayed && m.failed_probes == 0 && !m.cordoned &&
-         !m.draining && !m.notice_until && !m.push_again;
+         !m.draining && !m.notice_until && !m.push_again && m.contrary == 0;
 }
 
 // Looked at are those with something about them, and those unheard for longer
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -30,6 +30,10 @@
   rentals_ = 0;
   list_next_ = now;
   fleet_next_ = now;
+  // Whoever led before, be it this process a moment ago, may have used up the rate.
+  constexpr Seconds kFirstBurst{0.1};
+  write_budget_ = kFirstBurst.v * options_.writes_per_s;
+  write_refilled_ = now;
 }
 
 void Scheduler::Stop() {
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -95,6 +95,10 @@
   std::uint64_t session = 0;
   Token token;
   std::vector<Command> commands;
+  // What the worker had told, at the latest, when this was sent.
+  std::uint64_t told_session = 0;
+  std::uint64_t told_seq = 0;
+  Token told_token;
 };
 
 enum class PushEnd {
@@ -308,9 +312,10 @@
     Instant failing_since;            // when the first of them failed
     std::uint64_t session = 0;
     std::uint64_t seq = 0;
-    Token seen;   // highest token the worker is known to have
-    Token token;  // what we send
-    Token fence;  // seen at or above: older commands are dead
+    std::uint32_t contrary = 0;  // messages in a row that can't follow the latest
+    Token seen;                  // highest token the worker is known to have
+    Token token;                 // what we send
+    Token fence;                 // seen at or above: older commands are dead
     Instant born;
     Instant idle_since;
     Instant push_after;
@@ -353,6 +358,9 @@
   void NoteOverrun(Job& job, std::uint32_t index, Instant now);
   bool Conclusive(const Machine& m, bool from_push) const;
   void Absorb(Machine& m, const Report& report, bool from_push, Instant now);
+  static bool Follows(const Machine& m, const Report& report);
+  static bool BegunAnew(const Push& push, const Report& answer);
+  void ForgetsAll(Machine& m, const Report& report);
   void AbsorbTask(Machine& m, const TaskReport& entry, Instant now);
   std::vector<Command> CommandsFor(Machine& m, Instant now);
   void Bind(Job& job, std::uint32_t index, Machine& m, Instant now);
--- a/src/governor/governor.cc
+++ b/src/governor/governor.cc
@@ -6,6 +6,7 @@
 namespace {
 constexpr Seconds kBurst{1};  // how much quiet time may be made up for at once
 constexpr double kLeastBurst = 1;
+constexpr Seconds kFirstBurst{0.1};  // a run before this one may have used up the rate
 constexpr double kHalf = 0.5;
 }  // namespace
 
@@ -15,7 +16,9 @@
 }
 
 Governor::Governor(Options options)
-    : options_(options), rate_(options.begin * options.most), tokens_(rate_ * kBurst.v) {}
+    : options_(options),
+      rate_(options.begin * options.most),
+      tokens_(std::max(kLeastBurst, rate_ * kFirstBurst.v)) {}
 
 void Governor::Refill(Instant now) {
   if (!begun_) refilled_ = now;
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -19,6 +19,11 @@
   };
   // The fault of the next commit; those after it are healthy again.
   Fault next_commit = Fault::kNone;
+  // The process that makes the commit after so many more ends at it (it throws), while
+  // the commit itself fares as the fault says.
+  struct Ended {};
+  int commits_until_end = -1;
+  Fault at_the_end = Fault::kNone;
   bool outage = false;
   int commits = 0;
   int watches = 0;
@@ -53,7 +58,13 @@
 
   TxnResult Commit(const Transaction& txn) override {
     if (outage) return {StoreEnd::kRefused, {}, {}, false};
-    const Fault fault = std::exchange(next_commit, Fault::kNone);
+    Fault fault = std::exchange(next_commit, Fault::kNone);
+    const bool ends = commits_until_end >= 0 && commits_until_end-- == 0;
+    if (ends) {
+      if (at_the_end == Fault::kLandLater) late_.push_back(txn);
+      if (at_the_end == Fault::kLoseAnswer) Carry(txn);
+      throw Ended{};
+    }
     if (fault == Fault::kRefuse) return {StoreEnd::kRefused, {}, {}, false};
     if (fault == Fault::kLandLater) {
       late_.push_back(txn);
@@ -63,6 +74,7 @@
     return fault == Fault::kLoseAnswer ? TxnResult{} : result;
   }
 
+  bool holds_back() const { return !late_.empty(); }
   // Carries out what was held back; false when its conditions hold no more.
   bool Deliver() {
     const Transaction txn = late_.front();
--- a/tests/fake_worker.h
+++ b/tests/fake_worker.h
@@ -51,6 +51,16 @@
     report_.tasks.clear();
   }
 
+  // The machine goes and is back at once under its name. `forgets`: with its tasks its
+  // numbers and its token are lost too.
+  void Restart(bool forgets) {
+    report_.tasks.clear();
+    if (!forgets) return;
+    report_.session = 1;
+    report_.seq = 0;
+    report_.token = {};
+  }
+
   void Notice(Seconds left) { report_.notice = left; }
 
   void End(const TaskId& task, EndCause cause) {
--- a/tests/start_test.cc
+++ b/tests/start_test.cc
@@ -64,6 +64,8 @@
   Node& node = AddNode("n1");
   ASSERT_TRUE(node.TakeOver(now));
   Settle(node);
+  Pass(1);  // changes are paced from the start on
+  Settle(node);
   EXPECT_EQ(node.core.GetSquaring().orders, 1U);
   EXPECT_EQ(workers_.front().Listed(), 1U);
   EXPECT_EQ(LiveEverywhere(), 7U);
--- a/tests/world.h
+++ b/tests/world.h
@@ -34,10 +34,11 @@
 
 class Node {
  public:
-  Node(FakeStore& store, const std::string& label, Scheduler::Options options)
+  Node(FakeStore& store, const std::string& label, Scheduler::Options options,
+       const std::string& run = "run")
       : store_(store),
         label_(label),
-        membership(store, label, label + "-run", {4}),
+        membership(store, label, label + "-" + run, {4}),
         core(options, {}),
         api(store, options.teams, {"a", "b"}, Seconds{0}, {},
             {[] { return Types(); }, [this](const JobId& id) { return core.Counts(id); },
@@ -124,6 +125,11 @@
     return nodes_.emplace_back(store, label, DefaultOptions());
   }
 
+  // A controller that ended is there again, under its label and with nothing it knew.
+  Node& Again(const std::string& label) {
+    return nodes_.emplace_back(store, label, DefaultOptions(), "run" + std::to_string(++runs_));
+  }
+
   FakeWorker& AddWorker(const std::string& name, const std::string& type = "small",
                         const std::string& zone = "a", bool spot = false) {
     return workers_.emplace_back(name, type, zone, spot);
@@ -188,6 +194,7 @@
   Instant now{100};
   WallTime wall{1000};
   std::list<Node> nodes_;
+  int runs_ = 0;
   std::list<FakeWorker> workers_;
   std::set<MachineId> silent_;
   std::vector<ListedMachine> listed;
