A leader that no worker reaches, while others pass on reports, steps aside

Need: cut off from its workers alone, a leader kept the lead for as long as it reached the state service, and commands went out with relayed reports only, every 10 s. Ruled out: resigning on silence (a cut zone or mass loss looks the same); waiting for the lease (the leader renews it). A return decided more than a second before it is sent, as over a pause, is not sent.

--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -37,6 +37,7 @@
 constexpr Seconds kCountsEvery{2};
 constexpr Seconds kCountsKept{8};
 constexpr Seconds kServedEvery{30};  // the line of how all are served
+constexpr Seconds kDecisionHolds{1};
 constexpr Seconds kStepAgain{0.25};  // when the state service refused
 constexpr double kTickShare = 0.25;  // of the time that a tick may take
 constexpr Seconds kLeastTickGap{0.05};
@@ -146,7 +147,8 @@
       cloud_(settings.cloud, kCloudTimeout),
       redirects_(settings.lease),
       reach_(settings.leader_lease),
-      scheduler_(CoreOptions(settings), {settings.refused_pause, settings.most_per_order}) {
+      scheduler_(CoreOptions(settings), {settings.refused_pause, settings.most_per_order}),
+      fitness_(settings.report) {
   for (const Member& m : settings_.others)
     peers_[m.label] = std::make_unique<HttpClient>(m.mesh, Seconds{0.7}, kMeshTimeout, 2);
   // Polls of all controllers together take a part of the state service's rate.
@@ -371,7 +373,12 @@
   {
     std::lock_guard lock(mutex_);
     if (scheduler_.leading()) {
-      const Reply reply = scheduler_.OnReport(report, SteadyNow(), relayed);
+      const Instant now = SteadyNow();
+      if (relayed)
+        fitness_.Relayed(report.machine, now);
+      else
+        fitness_.Direct(now);
+      const Reply reply = scheduler_.OnReport(report, now, relayed);
       if (reply.come_here) return Plain(421);
       if (reply.entitled) {
         if (scheduler_.wants_tick() && !std::exchange(tick_due_, true)) tick_wake_.notify_one();
@@ -461,6 +468,7 @@
   timeline_.Restart();
   if (leadership_) {
     timeline_.Note(Timeline::Step::kLeads, SteadyNow());
+    fitness_.Begin(SteadyNow());
     spdlog::info("leading with epoch {}", leadership_->epoch.v);
     scheduler_.Start(leadership_->epoch,
                      settings_.label + "-" + std::to_string(leadership_->epoch.v) + "-",
@@ -476,12 +484,33 @@
   return leadership_ == leadership;
 }
 
+// Whether we lead and another should.
+bool Controller::StepsAside() {
+  std::lock_guard lock(mutex_);
+  const Instant now = SteadyNow();
+  if (!leadership_ || !fitness_.ShouldStepAside(scheduler_.MachinesThere(), now)) return false;
+  fitness_.SteppedAside(now);
+  return true;
+}
+
 void Controller::MembershipLoop() {
   Membership membership(store_, settings_.label, Nonce(), settings_.leader_lease);
   Backoff backoff(kStepAgain, {0.8});
+  Instant free_since = SteadyNow();  // nobody has led since then
   for (;;) {
-    const Membership::View& view = membership.Step();
+    bool may_lead = true;
+    {
+      std::lock_guard lock(mutex_);
+      may_lead = fitness_.MayLead(free_since, SteadyNow());
+    }
+    const Membership::View& view = membership.Step(may_lead);
     Adopt(view);
+    if (!view.reached || !view.leader.empty()) free_since = SteadyNow();
+    if (StepsAside()) {
+      spdlog::info("no worker reaches us, but others: another shall lead");
+      membership.StepAside();
+      continue;
+    }
     if (view.reached) backoff.Reset();
     const Seconds step = view.reached ? kStep : backoff.Next(ThreadRandom());
     std::unique_lock lock(membership_mutex_);
@@ -810,6 +839,7 @@
 void Controller::Send(const Push& push) {
   const PushResult result = SendPush(push, push.commands.empty() ? kProbeTimeout : kPushTimeout);
   std::lock_guard lock(mutex_);
+  if (result.end == PushEnd::kAnswered) fitness_.Direct(SteadyNow());
   scheduler_.OnPushEnd(push, result.end, result.report, SteadyNow());
   WakePushes();
   if (scheduler_.wants_tick() && !std::exchange(tick_due_, true)) tick_wake_.notify_one();
@@ -835,7 +865,7 @@
       }
     }
     const Instant begin = SteadyNow();
-    if (CarryOut(*call))
+    if (CarryOut(*call, begin))
       backoff.Reset();
     else
       PauseLonger(backoff);
@@ -845,7 +875,7 @@
 }
 
 // False when the cloud did not answer as it should: the next call waits.
-bool Controller::CarryOut(const CloudCall& call) {
+bool Controller::CarryOut(const CloudCall& call, Instant decided) {
   if (call.kind == CloudCall::Kind::kList) {
     const auto list = cloud_.List();
     std::lock_guard lock(mutex_);
@@ -871,7 +901,8 @@
     spdlog::info("rent {} {} in {}{}: {} came", call.order.count, call.order.kind.type,
                  call.order.kind.zone, call.order.kind.spot ? " (spot)" : "", machines.size());
   } else {
-    end = cloud_.Release(call.release);
+    // After a pause of ours others may lead, and may use what was to be returned.
+    if (SteadyNow() - decided < kDecisionHolds) end = cloud_.Release(call.release);
     {
       std::lock_guard lock(mutex_);
       if (end == CloudEnd::kOk) {
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -18,6 +18,7 @@
 #include "app/settings.h"
 #include "cloud/cloud_client.h"
 #include "core/scheduler.h"
+#include "fitness/fitness.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "recovery/timeline.h"
@@ -61,10 +62,11 @@
   void ProbeLoop();
   void Send(const Push& push);
   void CloudLoop();
-  bool CarryOut(const CloudCall& call);
+  bool CarryOut(const CloudCall& call, Instant decided);
   void WakePushes();
   void Adopt(const Membership::View& view);
   bool StillLeading(const Leadership& leadership);
+  bool StepsAside();
   std::optional<std::string> StartLine(Instant now);
 
   Settings settings_;
@@ -102,6 +104,7 @@
   Redirects redirects_;
   LeaderReach reach_;
   Scheduler scheduler_;
+  Fitness fitness_;
   std::optional<Leadership> leadership_;
   std::string leader_label_;
   Stamp epoch_;            // the latest known
--- a/src/app/membership.cc
+++ b/src/app/membership.cc
@@ -46,7 +46,14 @@
   return result.end != StoreEnd::kRefused;
 }
 
-const Membership::View& Membership::Step() {
+// Only while the key is the one that we hold: a late copy of this takes it from nobody.
+void Membership::StepAside() {
+  if (!view_.leadership) return;
+  store_.Commit({{{records::kLeader, view_.leadership->leader}},
+                 {{records::kLeader, std::nullopt, std::nullopt}}});
+}
+
+const Membership::View& Membership::Step(bool may_lead) {
   // Without the state service nothing is known to have changed: a leader stays
   // at its post, so that its workers' leases go on being renewed.
   view_.reached = EnsureLease();
@@ -88,6 +95,7 @@
       EnsureMember(Find(range.entries, records::MemberKey(label_).c_str()));
       return view_;
     }
+    if (leader == nullptr && !may_lead) return view_;
     const Stamp before = leader == nullptr ? Stamp{0} : leader->stamp;
     Transaction txn{{{records::kLeader, before}},
                     {{records::kLeader, Json{{"label", label_}, {"nonce", nonce_}}, lease_}}};
--- a/src/app/membership.h
+++ b/src/app/membership.h
@@ -23,7 +23,10 @@
     Stamp epoch;                                    // the latest epoch
     Stamp tick;
   };
-  const View& Step();
+  // `may_lead`: whether to take the lead if nobody has it.
+  const View& Step(bool may_lead = true);
+  // Gives up the lead at once, so that another need not wait for a lease to end.
+  void StepAside();
   const View& view() const { return view_; }
 
  private:
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -656,6 +656,13 @@
   return all;
 }
 
+// That something may run on.
+std::size_t Scheduler::MachinesThere() const {
+  std::size_t all = 0;
+  for (const auto& [name, zone] : roster_.zones()) all += zone.all;
+  return all;
+}
+
 Squaring Scheduler::GetSquaring() const {
   return {recorded_, recorded_ - unsquared_, orders_,
           loaded_ && push_wanted_.empty() && dirty_.empty() && !write_open_};
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -219,6 +219,7 @@
   // What was decided since the last call, for the log (if options.notes).
   std::vector<std::string> TakeNotes() { return std::exchange(notes_, {}); }
 
+  std::size_t MachinesThere() const;
   std::optional<JobCounts> Counts(const JobId& id) const;
   std::map<JobId, JobCounts> AllCounts() const;
   Status GetStatus() const;
