Boots are learned: late ones are not counted on, those that never come are given back

Need: new machines come up late, never, or within a second. What was planned knew only the cloud's own figure; one that never came was paid for over 125 to 185 s. Ruled out: giving up sooner by a constant (slow boots would never be let come up). Tests: tests/boots_test.cc.

--- a/src/core/dialogue.cc
+++ b/src/core/dialogue.cc
@@ -133,6 +133,7 @@
   if (!m.up) {
     if (std::exchange(m.recorded, false)) --unsquared_;
     m.up = true;
+    if (m.ordered) boots_.Came(m.type, now - m.born, now);
     wants_tick_ = true;
     m.idle_since = now;
     Touch();
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -18,6 +18,11 @@
 
 void Fleet::SetTypes(std::vector<MachineType> types) { types_ = std::move(types); }
 
+void Fleet::SetBoot(const std::string& name, Seconds boot) {
+  for (MachineType& type : types_)
+    if (type.name == name) type.boot = boot;
+}
+
 const MachineType* Fleet::Find(const std::string& name) const {
   for (const MachineType& type : types_)
     if (type.name == name) return &type;
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -50,6 +50,8 @@
   explicit Fleet(Options options) : options_(options) {}
 
   void SetTypes(std::vector<MachineType> types);
+  // Until machines of a type come up, as it is expected now.
+  void SetBoot(const std::string& type, Seconds boot);
   const std::vector<MachineType>& types() const { return types_; }
   const Options& options() const { return options_; }
   const MachineType* Find(const std::string& name) const;
--- a/src/core/machine_care.cc
+++ b/src/core/machine_care.cc
@@ -73,6 +73,7 @@
     m.zone = call.order.kind.zone;
     m.spot = call.order.kind.spot;
     m.kind.reset();
+    m.ordered = true;
   }
   Touch();
   if (machines.size() < call.order.count)
@@ -224,6 +225,16 @@
   }
 }
 
+// What the fleet is planned with, from what came up and what is waited for.
+void Scheduler::ExpectBoots(Instant now) {
+  for (const Roster::Member* member : roster_.watched()) {
+    const Machine& m = static_cast<const Machine&>(*member);
+    if (!m.up && m.ordered) boots_.Waits(m.type, now - m.born);
+  }
+  for (const MachineType& type : fleet_.types())
+    fleet_.SetBoot(type.name, boots_.Expect(type.name, now));
+}
+
 // Zones whose silence is more likely a cut than as many deaths: half of the
 // machines are silent at once, or all have been for longer than so many could
 // be by chance, or a good part of them is relayed while the others still look
@@ -313,9 +324,8 @@
     if (cancelled && quiet > 2.0 * options_.report) release = true;
     if (release && quiet > kLeastSilence && !cut_off) alarm_until_ = now + kAlarm;
   } else {
-    const MachineType* type = fleet_.Find(m.type);
-    const Seconds boot = type == nullptr ? Seconds{60} : type->boot;
-    release = now - m.born > options_.boot_patience * boot + options_.lease &&
+    const Seconds most = options_.boot_patience * boots_.Expect(m.type, now) + options_.lease;
+    release = now - m.born > boots_.GiveUp(m.type, options_.least_age, most, now) &&
               now - loaded_at_ > options_.lease;
   }
   if ((m.cordoned || m.draining) && m.tasks.empty()) release = true;
--- a/src/core/planning.cc
+++ b/src/core/planning.cc
@@ -365,13 +365,15 @@
 }
 
 Scheduler::Plan Scheduler::StartPlan(Instant now, const std::vector<Waiting>& waiting) {
-  constexpr double kBootLate = 2.5;  // then another machine is rented instead
   constexpr Seconds kFullEvery{1};
   Plan plan;
   plan.use = team_use_;
   plan.may_rent = renting_.empty() && list_seen_ && now >= fleet_next_;
   plan.full = plan.may_rent || now >= full_next_;
-  if (plan.full) full_next_ = now + kFullEvery;
+  if (plan.full) {
+    full_next_ = now + kFullEvery;
+    ExpectBoots(now);
+  }
   if (plan.may_rent) touched_ = false;
   if (!waiting.empty()) plan.least = waiting.front().job->spec.each;
   for (const Waiting& w : waiting) {
@@ -398,7 +400,8 @@
     const bool silent = now - m->heard > 2.5 * options_.report;
     Instant from = now;
     if (!m->up) {
-      if (now - m->born > kBootLate * kind.type->boot && m->tasks.empty()) continue;
+      // Late: another machine is rented instead.
+      if (m->tasks.empty() && now - m->born > boots_.Late(m->type, now)) continue;
       from = std::max(now + Seconds{1}, m->born + kind.type->boot);
     } else if (silent || m->suspected) {
       continue;
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -87,6 +87,7 @@
 }
 
 void Scheduler::SetTypes(std::vector<MachineType> types) {
+  for (const MachineType& type : types) boots_.SetNominal(type.name, type.boot);
   fleet_.SetTypes(std::move(types));
   for (KindFacts& kind : kinds_) kind.type = fleet_.Find(kind.kind.type);
   Touch();
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -22,6 +22,7 @@
 #include <vector>
 
 #include "blame/blame.h"
+#include "boots/boots.h"
 #include "core/fleet.h"
 #include "core/id_hash.h"
 #include "core/pages.h"
@@ -297,6 +298,7 @@
     bool spot = false;
     std::optional<std::size_t> kind;  // number in kinds_, once known
     bool up = false;                  // has reported since the takeover
+    bool ordered = false;             // by us, since the takeover
     bool recorded = false;  // held tasks by the records at the takeover, and is not squared
     bool listed_running = false;
     bool listed_failed = false;
@@ -353,6 +355,7 @@
   // Whether a machine needs no look until it is late.
   bool Ordinary(const Machine& m) const;
   void Return(Machine& m);
+  void ExpectBoots(Instant now);
   void LookAt(Machine& m, const std::set<std::string>& doubt, Instant now);
   void ExpectEnd(Job& job, std::uint32_t index);
   void NoLongerExpected(Job& job, std::uint32_t index);
@@ -510,6 +513,7 @@
   Options options_;
   Fleet fleet_;
   Blame blame_;
+  BootTimes boots_;
   RunTimeTable table_;
   Token base_;
   bool loaded_ = false;
--- /dev/null
+++ b/tests/boots_test.cc
@@ -0,0 +1,118 @@
+// Machines that come up late, never, or within a second.
+#include "boots/boots.h"
+
+#include "world.h"
+
+namespace magpie::testing {
+namespace {
+
+constexpr Seconds kBoot{20};
+const std::string kType = "small";
+
+class BootStory : public ::testing::Test {
+ protected:
+  BootStory() { boots.SetNominal(kType, kBoot); }
+  void Come(double took, int times = 5) {
+    for (int i = 0; i < times; ++i) boots.Came(kType, {took}, now);
+  }
+  BootTimes boots;
+  Instant now{100};
+};
+
+TEST_F(BootStory, AFewProveNothingAndWhatWasSeenIsForgotten) {
+  Come(1, 2);
+  EXPECT_EQ(boots.Expect(kType, now), kBoot);
+  Come(1);
+  EXPECT_EQ(boots.Expect(kType, now), Seconds{1});
+  EXPECT_EQ(boots.Late(kType, now), 2.5 * kBoot) << "one that is not as quick is not late";
+  EXPECT_EQ(boots.Expect(kType, now + Seconds{200}), kBoot);
+  EXPECT_EQ(boots.Expect("unheard of", now), Seconds{60});
+}
+
+TEST_F(BootStory, OneThatIsWaitedForDisprovesQuickOnes) {
+  Come(1);
+  EXPECT_FALSE(boots.Waits(kType, {1.5}));
+  EXPECT_TRUE(boots.Waits(kType, {3}));
+  EXPECT_EQ(boots.Expect(kType, now), kBoot);
+}
+
+TEST_F(BootStory, SlowOnesAreWaitedForAndThoseThatNeverComeAreGivenBack) {
+  const Seconds most{125};
+  const Seconds usual = boots.GiveUp(kType, {60}, most, now);
+  EXPECT_EQ(usual, Seconds{75});
+  Come(70);
+  EXPECT_EQ(boots.Expect(kType, now), Seconds{70});
+  EXPECT_GT(boots.Late(kType, now), Seconds{100});
+  EXPECT_GE(boots.GiveUp(kType, {60}, most, now), boots.Late(kType, now));
+  EXPECT_EQ(boots.GiveUp(kType, {600}, most, now), Seconds{600}) << "it is paid for anyway";
+}
+
+// In the world: the machine that never comes is counted no longer, its work is planned
+// elsewhere, and it is returned without a storm of orders.
+class Boots : public World {
+ protected:
+  // Orders are filled with machines that come up after a while, or never.
+  int Orders(Node& node) {
+    int orders = 0;
+    while (auto call = node.core.NextCloudCall(now)) {
+      if (call->kind == CloudCall::Kind::kList) node.core.OnList({}, now);
+      if (call->kind == CloudCall::Kind::kRelease) {
+        released += call->release.size();
+        node.core.OnReleased(*call, now);
+      }
+      if (call->kind != CloudCall::Kind::kRent) continue;
+      std::vector<MachineId> names;
+      for (std::uint32_t i = 0; i < call->order.count; ++i)
+        names.push_back({"vm-" + std::to_string(++rented)});
+      node.core.OnRented(*call, names, now);
+      ++orders;
+    }
+    return orders;
+  }
+  std::size_t released = 0;
+  int rented = 0;
+};
+
+TEST_F(Boots, AMachineThatNeverComesIsReplacedAndGivenBack) {
+  Node& node = AddNode("n0");
+  ASSERT_TRUE(node.TakeOver(now));
+  Run(node, MakeJob("j-1"));
+  int orders = 0;
+  for (int i = 0; i < 240; ++i) {
+    Settle(node, 1);
+    orders += Orders(node);
+    if (i == 80) {
+      EXPECT_EQ(released, 0U) << "not before it is late by far";
+    }
+    Pass(0.5);
+  }
+  EXPECT_GE(rented, 2);
+  EXPECT_LE(rented, 4) << "no storm of orders";
+  EXPECT_GE(released, 1U);
+  EXPECT_EQ(orders, rented);
+}
+
+TEST_F(Boots, QuickOnesAreRentedForWorkThatCanNotWait) {
+  Node& node = AddNode("n0");
+  ASSERT_TRUE(node.TakeOver(now));
+  for (int i = 0; i < 8; ++i) {
+    if (i < 4) Run(node, MakeJob("j-" + std::to_string(i), 2));
+    Settle(node, 1);
+    Orders(node);
+    Pass(1);
+    while (workers_.size() < static_cast<std::size_t>(rented))
+      AddWorker("vm-" + std::to_string(workers_.size() + 1), "small");
+    Settle(node);
+  }
+  ASSERT_EQ(LiveEverywhere(), 8U);
+  JobSpec urgent = MakeJob("j-9", 2);
+  urgent.deadline = Seconds{38};  // 30 to run: no usual boot and fetch could meet it
+  const int before = rented;
+  Run(node, urgent);
+  Settle(node, 1);
+  Orders(node);
+  EXPECT_GT(rented, before);
+}
+
+}  // namespace
+}  // namespace magpie::testing
