The dead of before a takeover are found by probes, not by 2.5 report intervals

They were known from the records alone, and only machines heard since the takeover could be given up by probes that fail. Test: TheDeadOfBeforeATakeoverAreFoundByProbes.

--- a/src/core/dialogue.cc
+++ b/src/core/dialogue.cc
@@ -385,7 +385,7 @@
 void Scheduler::NoteFirstFailure(const Machine& m, Instant now) {
   constexpr Seconds kAtOnce{2};
   constexpr std::size_t kSeveral = 3;
-  if (!m.up || m.relayed) return;
+  if ((!m.up && m.tasks.empty()) || m.relayed) return;
   first_failures_.push_back(now);
   while (now - first_failures_.front() > kAtOnce) first_failures_.pop_front();
   if (first_failures_.size() >= kSeveral) alarm_until_ = now + kAlarm;
--- a/src/core/machine_care.cc
+++ b/src/core/machine_care.cc
@@ -307,17 +307,22 @@
   const bool cut_off = doubt.contains(m.zone);
   const auto zone = roster_.zones().find(m.zone);
   Seconds patience = lone;
+  // It does not answer either, and others of its zone are heard.
+  const bool alone = !cut_off && m.failed_probes >= kFailedProbes &&
+                     zone != roster_.zones().end() &&
+                     zone->second.heard > m.failing_since + kAfterFailure;
   if (cut_off)
     patience = options_.guarded_zones.contains(m.zone) ? lease_ended + kCutLonger : lease_ended;
-  else if (m.up && m.failed_probes >= kFailedProbes && zone != roster_.zones().end() &&
-           zone->second.heard > m.failing_since + kAfterFailure)
-    patience = kLeastSilence;  // it does not answer either, and others of its zone are heard
+  else if (alone)
+    patience = kLeastSilence;
   bool release = false;
   if (m.up || !m.tasks.empty()) {
     // Returning a machine is the certain fence: once the cloud has answered,
     // nothing on it runs or can start.
     release = quiet > patience && m.up;
-    if (!m.up) release = now - loaded_at_ > std::max(patience, 2.0 * options_.list_lag);
+    // By the records it had work, so it was up before the takeover.
+    if (!m.up)
+      release = now - loaded_at_ > (alone ? patience : std::max(patience, 2.0 * options_.list_lag));
     bool cancelled = false;
     for (const Held& held : m.tasks)
       cancelled |= held.job->cancelled && now - held.job->cancelled_at > 0.4 * options_.cancel;
--- a/tests/start_test.cc
+++ b/tests/start_test.cc
@@ -71,6 +71,33 @@
   EXPECT_EQ(LiveEverywhere(), 7U);
 }
 
+// Machines died just before their leader did. The next one knew them from the records
+// alone and waited for 2.5 report intervals, although they answered no probe.
+TEST_F(StartStory, TheDeadOfBeforeATakeoverAreFoundByProbes) {
+  RunEverywhere();
+  Node& node = AddNode("n1");
+  ASSERT_TRUE(node.TakeOver(now));
+  const MachineId dead = workers_.front().id();
+  silent_.insert(dead);
+  listed = {{dead, "127.0.0.1:1", "small", "a", false, ListedMachine::Mood::kRunning, {50}}};
+  RunCloud(node);  // its address comes from the cloud
+  for (int i = 0; i < 12; ++i) {
+    Settle(node, 1);
+    while (auto probe = node.core.NextProbe(now)) {
+      const bool answers = probe->machine != dead;
+      for (FakeWorker& w : workers_)
+        if (answers && w.id() == probe->machine)
+          node.core.OnPushEnd(*probe, PushEnd::kAnswered, w.Snapshot(), now);
+      if (!answers) node.core.OnPushEnd(*probe, PushEnd::kUnknown, std::nullopt, now);
+    }
+    if (i == 2) {
+      EXPECT_TRUE(Released(RunCloud(node)).empty()) << "one missed probe proves nothing";
+    }
+    Pass(0.5);
+  }
+  EXPECT_EQ(Released(RunCloud(node)), std::set<MachineId>{dead});
+}
+
 TEST_F(StartStory, ASecondCrashWhileSquaringStartsOver) {
   RunEverywhere();
   Node& second = AddNode("n1");
