--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -87,6 +87,7 @@
 }
 
 void Scheduler::SetTypes(std::vector<MachineType> types) {
+  for (const MachineType& type : types) boots_.SetNominal(type.name, type.boot);
   fleet_.SetTypes(std::move(types));
   for (KindFacts& kind : kinds_) kind.type = fleet_.Find(kind.kind.type);
   Touch();
@@ -656,6 +657,13 @@
   return all;
 }
 
+// That something may run on.
+std::size_t Scheduler::MachinesThere() const {
+  std::size_t all = 0;
+  for (const auto& [name, zone] : roster_.zones()) all += zone.all;
+  return all;
+}
+
 Squaring Scheduler::GetSquaring() const {
   return {recorded_, recorded_ - unsquared_, orders_,
           loaded_ && push_wanted_.empty() && dirty_.empty() && !write_open_};
