--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -30,6 +30,10 @@
   rentals_ = 0;
   list_next_ = now;
   fleet_next_ = now;
+  // Whoever led before, be it this process a moment ago, may have used up the rate.
+  constexpr Seconds kFirstBurst{0.1};
+  write_budget_ = kFirstBurst.v * options_.writes_per_s;
+  write_refilled_ = now;
 }
 
 void Scheduler::Stop() {
@@ -83,6 +87,7 @@
 }
 
 void Scheduler::SetTypes(std::vector<MachineType> types) {
+  for (const MachineType& type : types) boots_.SetNominal(type.name, type.boot);
   fleet_.SetTypes(std::move(types));
   for (KindFacts& kind : kinds_) kind.type = fleet_.Find(kind.kind.type);
   Touch();
@@ -652,6 +657,13 @@
   return all;
 }
 
+// That something may run on.
+std::size_t Scheduler::MachinesThere() const {
+  std::size_t all = 0;
+  for (const auto& [name, zone] : roster_.zones()) all += zone.all;
+  return all;
+}
+
 Squaring Scheduler::GetSquaring() const {
   return {recorded_, recorded_ - unsquared_, orders_,
           loaded_ && push_wanted_.empty() && dirty_.empty() && !write_open_};
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -22,6 +22,7 @@
 #include <vector>
 
 #include "blame/blame.h"
+#include "boots/boots.h"
 #include "core/fleet.h"
 #include "core/id_hash.h"
 #include "core/pages.h"
@@ -95,6 +96,10 @@
   std::uint64_t session = 0;
   Token token;
   std::vector<Command> commands;
+  // What the worker had told, at the latest, when this was sent.
+  std::uint64_t told_session = 0;
+  std::uint64_t told_seq = 0;
+  Token told_token;
 };
 
 enum class PushEnd {
@@ -215,6 +220,7 @@
   // What was decided since the last call, for the log (if options.notes).
   std::vector<std::string> TakeNotes() { return std::exchange(notes_, {}); }
 
+  std::size_t MachinesThere() const;
   std::optional<JobCounts> Counts(const JobId& id) const;
   std::map<JobId, JobCounts> AllCounts() const;
   Status GetStatus() const;
@@ -292,6 +298,7 @@
     bool spot = false;
     std::optional<std::size_t> kind;  // number in kinds_, once known
     bool up = false;                  // has reported since the takeover
+    bool ordered = false;             // by us, since the takeover
     bool recorded = false;  // held tasks by the records at the takeover, and is not squared
     bool listed_running = false;
     bool listed_failed = false;
@@ -308,9 +315,10 @@
     Instant failing_since;            // when the first of them failed
     std::uint64_t session = 0;
     std::uint64_t seq = 0;
-    Token seen;   // highest token the worker is known to have
-    Token token;  // what we send
-    Token fence;  // seen at or above: older commands are dead
+    std::uint32_t contrary = 0;  // messages in a row that can't follow the latest
+    Token seen;                  // highest token the worker is known to have
+    Token token;                 // what we send
+    Token fence;                 // seen at or above: older commands are dead
     Instant born;
     Instant idle_since;
     Instant push_after;
@@ -347,12 +355,16 @@
   // Whether a machine needs no look until it is late.
   bool Ordinary(const Machine& m) const;
   void Return(Machine& m);
+  void ExpectBoots(Instant now);
   void LookAt(Machine& m, const std::set<std::string>& doubt, Instant now);
   void ExpectEnd(Job& job, std::uint32_t index);
   void NoLongerExpected(Job& job, std::uint32_t index);
   void NoteOverrun(Job& job, std::uint32_t index, Instant now);
   bool Conclusive(const Machine& m, bool from_push) const;
   void Absorb(Machine& m, const Report& report, bool from_push, Instant now);
+  static bool Follows(const Machine& m, const Report& report);
+  static bool BegunAnew(const Push& push, const Report& answer);
+  void ForgetsAll(Machine& m, const Report& report);
   void AbsorbTask(Machine& m, const TaskReport& entry, Instant now);
   std::vector<Command> CommandsFor(Machine& m, Instant now);
   void Bind(Job& job, std::uint32_t index, Machine& m, Instant now);
@@ -501,6 +513,7 @@
   Options options_;
   Fleet fleet_;
   Blame blame_;
+  BootTimes boots_;
   RunTimeTable table_;
   Token base_;
   bool loaded_ = false;
