--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -30,6 +30,10 @@
   rentals_ = 0;
   list_next_ = now;
   fleet_next_ = now;
+  // Whoever led before, be it this process a moment ago, may have used up the rate.
+  constexpr Seconds kFirstBurst{0.1};
+  write_budget_ = kFirstBurst.v * options_.writes_per_s;
+  write_refilled_ = now;
 }
 
 void Scheduler::Stop() {
@@ -47,6 +51,7 @@
   touched_ = unsettled_ = true;
   rooms_.clear();
   served_.Clear();
+  blame_.Clear();
   recorded_ = unsquared_ = 0;
   orders_ = 0;
   busy_ = {};
@@ -189,6 +194,9 @@
     for (std::uint32_t i : job->pending)
       if (job->tasks[i].state == TaskState::kPending) pending.push_back(i);
     job->pending.swap(pending);
+    Attempt most;
+    for (const Task& t : job->tasks) most = std::max(most, t.attempt);
+    if (job->done == 0) blame_.Recalled(job->serial, most);
     // What was there before us says what comes, but nothing of the rate.
     NoteArrival(*job, 0, now);
     job->cancelled_at = now;
@@ -225,6 +233,7 @@
   if (job == nullptr) return;
   for (Task& t : job->tasks) pages_.Leave(t.page);
   DropClaim(*job);
+  blame_.Forget(job->serial);
   by_serial_.erase(job->serial);
   waiting_.erase(job);
   jobs_.erase(id);
@@ -647,6 +656,13 @@
   return all;
 }
 
+// That something may run on.
+std::size_t Scheduler::MachinesThere() const {
+  std::size_t all = 0;
+  for (const auto& [name, zone] : roster_.zones()) all += zone.all;
+  return all;
+}
+
 Squaring Scheduler::GetSquaring() const {
   return {recorded_, recorded_ - unsquared_, orders_,
           loaded_ && push_wanted_.empty() && dirty_.empty() && !write_open_};
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -21,6 +21,7 @@
 #include <utility>
 #include <vector>
 
+#include "blame/blame.h"
 #include "core/fleet.h"
 #include "core/id_hash.h"
 #include "core/pages.h"
@@ -94,6 +95,10 @@
   std::uint64_t session = 0;
   Token token;
   std::vector<Command> commands;
+  // What the worker had told, at the latest, when this was sent.
+  std::uint64_t told_session = 0;
+  std::uint64_t told_seq = 0;
+  Token told_token;
 };
 
 enum class PushEnd {
@@ -214,6 +219,7 @@
   // What was decided since the last call, for the log (if options.notes).
   std::vector<std::string> TakeNotes() { return std::exchange(notes_, {}); }
 
+  std::size_t MachinesThere() const;
   std::optional<JobCounts> Counts(const JobId& id) const;
   std::map<JobId, JobCounts> AllCounts() const;
   Status GetStatus() const;
@@ -260,9 +266,8 @@
     std::deque<std::uint32_t> pending;
     std::uint32_t done = 0;   // durable or about to be
     std::uint32_t bound = 0;  // binding, bound or ending
-    std::uint32_t errors = 0;
-    Instant not_before;     // wait after errors
-    Instant preempt_after;  // until then, earlier victims are leaving
+    Instant not_before;       // wait after a refusal
+    Instant preempt_after;    // until then, earlier victims are leaving
     Instant arrived;
     Instant dirty_since;
     bool urgent = false;  // bindings wait to be written
@@ -308,9 +313,10 @@
     Instant failing_since;            // when the first of them failed
     std::uint64_t session = 0;
     std::uint64_t seq = 0;
-    Token seen;   // highest token the worker is known to have
-    Token token;  // what we send
-    Token fence;  // seen at or above: older commands are dead
+    std::uint32_t contrary = 0;  // messages in a row that can't follow the latest
+    Token seen;                  // highest token the worker is known to have
+    Token token;                 // what we send
+    Token fence;                 // seen at or above: older commands are dead
     Instant born;
     Instant idle_since;
     Instant push_after;
@@ -321,7 +327,6 @@
     std::uint32_t arrays = 0;  // tasks of arrays that take room here
     std::vector<TaskReport> last;
     std::deque<std::pair<std::uint32_t, double>> images;  // latest first
-    std::uint32_t errors_in_row = 0;
     // Of the latest run times that tell something: from which job, and slow?
     std::deque<std::pair<JobId, bool>> pace;
   };
@@ -354,6 +359,9 @@
   void NoteOverrun(Job& job, std::uint32_t index, Instant now);
   bool Conclusive(const Machine& m, bool from_push) const;
   void Absorb(Machine& m, const Report& report, bool from_push, Instant now);
+  static bool Follows(const Machine& m, const Report& report);
+  static bool BegunAnew(const Push& push, const Report& answer);
+  void ForgetsAll(Machine& m, const Report& report);
   void AbsorbTask(Machine& m, const TaskReport& entry, Instant now);
   std::vector<Command> CommandsFor(Machine& m, Instant now);
   void Bind(Job& job, std::uint32_t index, Machine& m, Instant now);
@@ -364,7 +372,7 @@
   Seconds ExpectOn(const Job& job, const Machine& m) const;
   void MarkDirty(Job& job, std::uint32_t index, Instant now);
   void FreeRoom(Job& job, Task& t);
-  void NoteError(Machine& m, Job& job, Instant now);
+  void Judge(const Blame::Verdict& verdict);
   void WantPush(Machine& m);
   std::uint32_t ImageNumber(const std::string& image);
   void SetDone(Job& job, std::uint32_t index, Instant now);
@@ -401,16 +409,17 @@
   struct Waiting {
     Job* job = nullptr;
     Due due;
-    std::pair<int, int> rank;  // see RankOf
-    bool put_off = false;      // it meets no target along with the others
-    Seconds order;             // by what it goes among those alike: target or work
+    std::pair<int, int> rank;          // see RankOf
+    bool put_off = false;              // it meets no target along with the others
+    std::uint32_t most = Blame::kAll;  // tasks that may be begun: see Blame
+    Seconds order;                     // by what it goes among those alike: target or work
   };
-  std::vector<Waiting> Ordered(WallTime wall);
+  std::vector<Waiting> Ordered(Instant now, WallTime wall);
   Seconds TriageRank(Waiting* begin, Waiting* end, Seconds ahead, double part) const;
   void KeepFloor(std::vector<Waiting>& waiting);
   Seconds BusyFrom(Priority priority) const;
   double HeldBelow(Priority priority) const;
-  Seconds WorkLeft(const Job& job, Seconds run) const;
+  Seconds WorkLeft(const Waiting& waiting) const;
   // A machine in the plan: one that there is, or one about to be ordered.
   struct Slot {
     Machine* machine = nullptr;
@@ -500,6 +509,7 @@
 
   Options options_;
   Fleet fleet_;
+  Blame blame_;
   RunTimeTable table_;
   Token base_;
   bool loaded_ = false;
