--- a/src/app/membership.h
+++ b/src/app/membership.h
@@ -23,17 +23,22 @@
     Stamp epoch;                                    // the latest epoch
     Stamp tick;
   };
-  const View& Step();
+  // `may_lead`: whether to take the lead if nobody has it.
+  const View& Step(bool may_lead = true);
+  // Gives up the lead at once, so that another need not wait for a lease to end.
+  void StepAside();
   const View& view() const { return view_; }
 
  private:
   bool EnsureLease();
+  bool EnsureMember(const StoreEntry* member);
 
   Store& store_;
   std::string label_;
   std::string nonce_;
   Seconds life_;
   std::optional<LeaseId> lease_;
+  std::optional<LeaseId> told_;  // with which our member key was last written
   View view_;
 };
 
