Bindings of low priority share changes unless these are plenty

Cause: one-task jobs arrive at 6 a second, each binding went out as a change of its own, up to the leader's 18.75 a second, and with the submissions the service's 25 were passed and users' requests refused. Change: bindings of low priority wait half a second, all together, while the leader's budget is not nearly full. The first burst of a start is 0.3 s of the rate. Test: BindingsOfLowPriorityShareChangesWhenTheseAreScarce.

--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -31,7 +31,7 @@
   list_next_ = now;
   fleet_next_ = now;
   // Whoever led before, be it this process a moment ago, may have used up the rate.
-  constexpr Seconds kFirstBurst{0.1};
+  constexpr Seconds kFirstBurst{0.3};
   write_budget_ = kFirstBurst.v * options_.writes_per_s;
   write_refilled_ = now;
 }
@@ -419,7 +419,18 @@
 // are scarce.
 std::vector<JobId> Scheduler::WriteOrder(Instant now) const {
   constexpr Seconds kEndsWait{2};
+  constexpr Seconds kLowWaits{0.5};
   const bool scarce = write_budget_ < 0.5 * options_.writes_per_s;
+  // Bindings of low priority wait a little, all together, unless changes are plenty: a
+  // flood of jobs of one task would take one for each, and users' submissions go short.
+  const auto low = [](const Job& job) {
+    return job.urgent && !job.cancelled && job.spec.priority == Priority::kLow;
+  };
+  bool low_goes = write_budget_ >= 0.9 * options_.writes_per_s;
+  for (auto it = dirty_.begin(); !low_goes && it != dirty_.end(); ++it) {
+    const Job& job = *jobs_.at(*it);
+    low_goes = low(job) && now - job.dirty_since >= kLowWaits;
+  }
   std::vector<JobId> order;
   std::vector<JobId> finals;
   std::vector<JobId> ends;
@@ -428,6 +439,8 @@
     if (job.reload) continue;
     if (Final(job))
       finals.push_back(id);
+    else if (low(job) && !low_goes)
+      continue;
     else if (job.urgent || job.cancelled)
       order.push_back(id);
     else if (!scarce || now - job.dirty_since > kEndsWait)
--- a/src/governor/governor.cc
+++ b/src/governor/governor.cc
@@ -6,7 +6,7 @@
 namespace {
 constexpr Seconds kBurst{1};  // how much quiet time may be made up for at once
 constexpr double kLeastBurst = 1;
-constexpr Seconds kFirstBurst{0.1};  // a run before this one may have used up the rate
+constexpr Seconds kFirstBurst{0.3};  // a run before this one may have used up the rate
 constexpr double kHalf = 0.5;
 }  // namespace
 
--- a/tests/growth_test.cc
+++ b/tests/growth_test.cc
@@ -441,6 +441,31 @@
   EXPECT_EQ(plan.puts.front().records[plan.puts.front().carried].job, JobId{"j-4"});
 }
 
+// A flood of one-task jobs of low priority took a change for each of them, and the
+// users' submissions were refused for it.
+TEST_F(World, BindingsOfLowPriorityShareChangesWhenTheseAreScarce) {
+  Scheduler::Options options = DefaultOptions();
+  options.writes_per_s = 20;
+  Node& node = nodes_.emplace_back(store, "n0", options);
+  for (int i = 0; i < 4; ++i) AddWorker("m-" + std::to_string(i), "large");
+  ASSERT_TRUE(node.TakeOver(now));
+  Settle(node);
+  const int before = store.commits;
+  for (int i = 0; i < 20; ++i) {
+    JobSpec low = MakeJob("j-" + std::to_string(100 + i));
+    low.priority = Priority::kLow;
+    Run(node, low);
+    node.core.Tick(now, wall);
+    while (node.WriteOnce(now)) {
+    }
+    Pass(0.05);
+  }
+  Pass(1);
+  Settle(node);
+  EXPECT_EQ(LiveEverywhere(), 20U);
+  EXPECT_LT(store.commits - before - 20, 12) << "besides the 20 submissions";
+}
+
 // After many machines died, replicas waited behind arrays for a few changes a
 // second, by the order of their jobs' names.
 TEST_F(World, BindingsAreWrittenByPriority) {
