--- a/tests/larger_test.cc
+++ b/tests/larger_test.cc
@@ -14,10 +14,10 @@
 
 Report ReportOf(std::uint32_t number, std::uint64_t seq, Token token) {
   Report r;
-  r.machine = {"vm-" + std::to_string(100000 + number)};
-  r.addr = "127.0.0.1:" + std::to_string(10000 + number);
-  r.type = "large";
-  r.zone = number % 2 == 0 ? "a" : "b";
+  r.machine.v = std::string("vm-").append(std::to_string(100000 + number));
+  r.addr = std::string("127.0.0.1:").append(std::to_string(10000 + number));
+  r.type = std::string("large");
+  r.zone = std::string(1, number % 2 == 0 ? 'a' : 'b');
   r.session = 1;
   r.seq = seq;
   r.token = token;
@@ -38,7 +38,7 @@
   const WallTime wall{1000};
   core.Start({7}, "n0-7-", now);
   for (int i = 0; i < 600; ++i)
-    core.LoadJob(MakeJob("j-" + std::to_string(1000 + i), 60), false, {100});
+    core.LoadJob(MakeJob(std::string("j-").append(std::to_string(1000 + i)), 60), false, {100});
   core.FinishLoad(now);
   std::uint64_t seq = 0;
   std::uint64_t stamp = 1000;
