--- a/tests/regress_test.py
+++ b/tests/regress_test.py
@@ -145,6 +145,12 @@
         self.assertEqual(self.run_tool("accept")[0], 0)
         accepted = regress.read_accepted(self.root / "docs/regression.toml")
         self.assertEqual(accepted, {("quick", "s"): (0.5, "c0ffee"), ("full", "s"): (0.6, "c0ffee")})
+        self.write("journal/6.json", entry(0.7, site="t"))
+        self.assertEqual(self.run_tool("accept", "--site", "t")[0], 0)
+        accepted["quick", "t"] = (0.7, "c0ffee")
+        self.assertEqual(regress.read_accepted(self.root / "docs/regression.toml"), accepted)
+        code, text = self.run_tool("accept", "--site", "u")
+        self.assertEqual((code, "--site: u" in text), (2, True))
         for worse in ({"dirty": True}, {"day": {"rules": {"quota": 1}}}):
             self.write("journal/5.json", entry(0.9, at=["2026-02-02", "2026-02-02"], **worse))
             self.assertEqual(self.run_tool("accept")[0], 1)
