--- a/src/app/membership.cc
+++ b/src/app/membership.cc
@@ -36,14 +36,13 @@
 // Our member key says that this run of the process lives. It is written over what was
 // read and nothing else: a copy of an earlier run's write that arrives late, or a
 // repeat of this one, must not bring back a key that goes with another lease.
-bool Membership::EnsureMember(const StoreEntry* member) {
-  if (told_ == lease_ && Field(member, "nonce") == nonce_) return true;
-  const Transaction txn{
-      {{records::MemberKey(label_), member == nullptr ? Stamp{0} : member->stamp}},
-      {{records::MemberKey(label_), Json{{"nonce", nonce_}}, lease_}}};
-  const TxnResult result = store_.Commit(txn);
-  if (result.end == StoreEnd::kOk) told_ = lease_;
-  return result.end != StoreEnd::kRefused;
+void Membership::EnsureMember(const std::vector<StoreEntry>& control) {
+  const std::string key = records::MemberKey(label_);
+  const StoreEntry* member = Find(control, key.c_str());
+  if (told_ == lease_ && Field(member, "nonce") == nonce_) return;
+  const Transaction txn{{{key, member == nullptr ? Stamp{0} : member->stamp}},
+                        {{key, Json{{"nonce", nonce_}}, lease_}}};
+  if (store_.Commit(txn).end == StoreEnd::kOk) told_ = lease_;
 }
 
 // Only while the key is the one that we hold: a late copy of this takes it from nobody.
@@ -77,7 +76,7 @@
       if (epoch != nullptr && Field(epoch, "nonce") == nonce_ &&
           epoch->value.value("key", std::uint64_t{0}) == leader->stamp.v) {
         view_.leadership = records::Leadership{leader->stamp, epoch->stamp};
-        EnsureMember(Find(range.entries, records::MemberKey(label_).c_str()));
+        EnsureMember(range.entries);
         return view_;
       }
       view_.leadership.reset();
@@ -92,7 +91,7 @@
     view_.leadership.reset();
     // Free, or held by an earlier run of this very controller.
     if (leader != nullptr && holder != label_) {
-      EnsureMember(Find(range.entries, records::MemberKey(label_).c_str()));
+      EnsureMember(range.entries);
       return view_;
     }
     if (leader == nullptr && !may_lead) return view_;
--- a/src/app/membership.h
+++ b/src/app/membership.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "state/records.h"
 #include "state/store.h"
@@ -31,7 +32,7 @@
 
  private:
   bool EnsureLease();
-  bool EnsureMember(const StoreEntry* member);
+  void EnsureMember(const std::vector<StoreEntry>& control);
 
   Store& store_;
   std::string label_;
--- a/src/blame/blame.h
+++ b/src/blame/blame.h
@@ -15,7 +15,6 @@
 #include <cstdint>
 #include <limits>
 #include <map>
-#include <optional>
 #include <unordered_map>
 #include <vector>
 
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -195,9 +195,11 @@
     for (std::uint32_t i : job->pending)
       if (job->tasks[i].state == TaskState::kPending) pending.push_back(i);
     job->pending.swap(pending);
-    Attempt most;
-    for (const Task& t : job->tasks) most = std::max(most, t.attempt);
-    if (job->done == 0) blame_.Recalled(job->serial, most);
+    if (job->done == 0) {
+      Attempt most;
+      for (const Task& t : job->tasks) most = std::max(most, t.attempt);
+      blame_.Recalled(job->serial, most);
+    }
     // What was there before us says what comes, but nothing of the rate.
     NoteArrival(*job, 0, now);
     job->cancelled_at = now;
