A dropped page without an answer is known to have landed; a stale leader reads anew

Cause: found going through late transactions. A page that nobody needs is dropped; if the answer is lost, the repeat's conflict was taken for a refusal, and the page stayed in the leader's books with a stamp that no key has. It was dropped again without end, or chosen for the next bindings, which were then refused for ever: nothing more could be started until another led.

Ruled out: that a late copy of the drop could take a page created anew: the new one has another stamp, and numbers are not used again by the same leader.

Change: the writer looks whether the page is there, as it does for puts and ends.

--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -477,6 +477,10 @@
       membership.StepAside();
       continue;
     }
+    if (lead_anew_.exchange(false)) {  // by a new epoch, which begins with reading
+      membership.StepAside();
+      continue;
+    }
     if (view.reached) backoff.Reset();
     const Seconds step = view.reached ? kStep : backoff.Next(ThreadRandom());
     std::unique_lock lock(membership_mutex_);
@@ -761,7 +765,11 @@
 void Controller::Write(const WritePlan& plan, const Leadership& leadership) {
   PlanWriter writer(store_, {[&] { return StillLeading(leadership); }, Pause});
   const WriteOutcome outcome = writer.Write(plan, leadership);
-  if (outcome.deposed) NudgeMembership();
+  if (outcome.stale) {
+    spdlog::error("a page is not as it was written: leading anew");
+    lead_anew_ = true;
+  }
+  if (outcome.deposed || outcome.stale) NudgeMembership();
   const bool rejected = outcome.end == WriteOutcome::End::kRejected;
   if (rejected) Pause(outcome.deposed ? kAfterDeposition : kAfterRejection);
   std::lock_guard lock(mutex_);
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -86,6 +86,7 @@
   std::mutex membership_mutex_;
   std::condition_variable membership_wake_;
   bool membership_nudged_ = false;
+  std::atomic<bool> lead_anew_{false};
 
   // Counts of the live jobs as the leader told them last.
   std::mutex counts_mutex_;
--- a/src/state/plan_writer.cc
+++ b/src/state/plan_writer.cc
@@ -33,6 +33,8 @@
           outcome.stamp = *landed;
           return outcome;
         }
+        for (const std::string& key : result.failed)
+          outcome.stale |= !outcome.deposed && records::ParsePageKey(key).has_value();
         Reload(plan, outcome);
         outcome.end = WriteOutcome::End::kRejected;
         return outcome;
@@ -68,6 +70,8 @@
     key = records::ToKey(put.key);
     expected = records::ToJson(put.records);
     before = put.expected;
+  } else if (!plan.drops.empty()) {
+    key = records::ToKey(plan.drops.front().key);
   } else {
     return std::nullopt;
   }
@@ -77,6 +81,10 @@
       Wait();
       continue;
     }
+    if (plan.finals.empty() && plan.puts.empty()) {  // nobody else drops pages
+      if (got.entry) return std::nullopt;
+      return Stamp{};
+    }
     if (!got.entry || got.entry->value != expected || got.entry->stamp <= before)
       return std::nullopt;
     return got.entry->stamp;
--- a/src/state/plan_writer.h
+++ b/src/state/plan_writer.h
@@ -19,6 +19,9 @@
   } end = End::kGivenUp;
   Stamp stamp;
   bool deposed = false;  // the leader's key or the epoch has changed
+  // A page is not as the leader, who alone writes them, has it in its books: with these
+  // it would be refused for ever, so it must read everything anew.
+  bool stale = false;
   struct Job {
     records::JobRecord record;
     Stamp stamp;
--- a/tests/meeting_test.cc
+++ b/tests/meeting_test.cc
@@ -9,6 +9,7 @@
 #include <cstdlib>
 
 #include "meeting_world.h"
+#include "world.h"
 
 namespace magpie::testing {
 namespace {
@@ -219,5 +220,120 @@
   }
 }
 
+// ------------------------------------------------------- late transactions, one by one
+
+class LateWrites : public World {};
+
+// A page that nobody needs is dropped, and the answer is lost. The leader took its repeat's
+// conflict for a refusal, kept the page in its books with a stamp that no key has, and
+// chose it for the next bindings, which were refused for ever.
+TEST_F(LateWrites, ADropWithoutAnAnswerIsKnownToHaveLanded) {
+  for (const auto fault :
+       {FakeStore::Fault::kLoseAnswer, FakeStore::Fault::kLandLater, FakeStore::Fault::kRefuse}) {
+    store = FakeStore{};
+    nodes_.clear();
+    workers_.clear();
+    now = {100};
+    Transaction old;
+    for (int i = 1; i <= 8; ++i)  // records of a job that is over
+      old.apply.push_back({"p/" + std::to_string(i),
+                           Json{{"jobs", {{"j-9", Json::array({Json::array({0, 1, 1})})}}}},
+                           std::nullopt});
+    ASSERT_EQ(store.Commit(old).end, StoreEnd::kOk);
+    AddWorker("m-1", "large");
+    Node& node = AddNode("n0");
+    ASSERT_TRUE(node.TakeOver(now));
+    int writes = 0;
+    for (int i = 0; i < 40; ++i) {
+      Pass(1);
+      store.next_commit = i % 2 == 0 ? fault : FakeStore::Fault::kNone;
+      while (writes < 200 && node.WriteOnce(now)) ++writes;
+      store.next_commit = FakeStore::Fault::kNone;
+      while (store.holds_back()) store.Deliver();
+    }
+    EXPECT_LE(writes, 8) << "each page is dropped once";
+    EXPECT_LE(store.Range("p/", "", 100).entries.size(), 4U);
+    ASSERT_EQ(Submit(node, MakeJob("j-1", 3)), 201);
+    node.ReadJobs();
+    for (int i = 0; i < 4; ++i) {
+      Pass(1);
+      Settle(node, 1);
+    }
+    EXPECT_EQ(LiveEverywhere(), 3U);
+  }
+}
+
+// Whatever made the leader's books of its pages wrong, it reads them anew and goes on.
+TEST(Meetings, ALeaderWithWrongBooksLeadsAnew) {
+  MeetingWorld w;
+  w.Pass(3);
+  ASSERT_TRUE(w.Submit("j-1", 2, "n1"));
+  w.Pass(5);
+  ASSERT_EQ(w.Live("j-1"), 2U);
+  const auto pages = w.store.Range("p/", "", 10).entries;
+  ASSERT_FALSE(pages.empty());
+  for (const StoreEntry& page : pages)  // as nobody ever should
+    w.store.Commit({{{page.key, page.stamp}}, {{page.key, page.value, std::nullopt}}});
+  ASSERT_TRUE(w.Submit("j-2", 2, "n1"));
+  w.Pass(8);
+  EXPECT_EQ(w.stale, 1);
+  EXPECT_EQ(w.Live("j-1"), 2U);
+  EXPECT_EQ(w.Live("j-2"), 2U);
+  EXPECT_EQ(w.LeasesLost(), 0);
+  EXPECT_EQ(w.broken_rules, std::set<std::string>{});
+}
+
+// Every write of a day in turn lands 2 to 12 s late or with its answer lost: of the
+// leader, of submissions and cancellations and of elections. Nothing is applied twice.
+TEST(Meetings, EachWriteInTurnLandsLate) {
+  for (const auto fault : {FakeStore::Fault::kLandLater, FakeStore::Fault::kLoseAnswer})
+    for (int at = 0; at < 60; ++at) {
+      SCOPED_TRACE(std::to_string(at));
+      MeetingWorld w;
+      int left = at;
+      const auto step = [&](int seconds) {
+        for (int i = 0; i < seconds; ++i) {
+          const int before = w.store.commits;
+          if (left == 0) {
+            w.store.next_commit = fault;
+            w.late_writes.push_back(w.now + Seconds{2.0 + at % 11});
+          }
+          w.Second();
+          left -= w.store.commits - before + (left == 0 ? 1 : 0);
+        }
+      };
+      step(3);
+      for (const char* job : {"j-1", "j-2", "j-3"})
+        for (int i = 0; i < 5 && !w.jobs.contains(job); ++i) {
+          w.Submit(job, 2, "n1");
+          step(1);
+        }
+      step(6);
+      for (auto& m : w.machines) {
+        const TaskId task{{"j-3"}, 0};
+        if (!m.worker.Has(task)) continue;
+        m.worker.End(task, EndCause::kDone);
+        w.completed.insert(task);
+      }
+      for (int i = 0; i < 12 && !w.told.contains("j-1"); ++i) {
+        w.Cancel("j-1", "n2");
+        step(1);
+      }
+      const std::string leader = w.Leader();
+      if (!leader.empty()) {
+        w.End(leader);
+        w.Start(leader);
+      }
+      step(20);
+      EXPECT_TRUE(w.told.contains("j-1"));
+      EXPECT_EQ(w.Live("j-1"), 0U);
+      EXPECT_EQ(w.Live("j-2"), 2U);
+      EXPECT_EQ(w.Live("j-3"), 1U);
+      EXPECT_EQ(w.Poll("j-3", "n0"), "running");
+      EXPECT_EQ(w.stale, 0) << "its books agree with what it wrote";
+      EXPECT_EQ(w.broken_rules, std::set<std::string>{});
+    }
+}
+
 }  // namespace
 }  // namespace magpie::testing
--- a/tests/meeting_world.h
+++ b/tests/meeting_world.h
@@ -284,6 +284,7 @@
   // Whether the next direct command is held up, and until when.
   std::function<std::optional<Instant>()> hold_push = [] { return std::nullopt; };
   int nonces = 0;
+  int stale = 0;  // how often a leader's books of its pages were wrong
 
  private:
   void ExpireLeases() {
@@ -516,6 +517,11 @@
         core.LoadJob(job.record.spec, job.record.over(), job.stamp);
       core.OnWriteRejected(plan);
     }
+    if (outcome.stale) {
+      ++world_.stale;
+      membership.StepAside();
+      return;
+    }
   }
 }
 
