--- a/tests/regress_test.py
+++ b/tests/regress_test.py
@@ -227,6 +227,22 @@
         log += "\n" + self.line("b", red={"done": 0, "withdrawn": 0, "open": 2, "waiting": 2})
         self.assertEqual(regress.served_teams(log), {"red": 0.8})
 
+    def test_judging_the_largest_of_forged_reports(self):
+        def largest(row, **of):
+            return regress.served_largest({"classes": {"sort": of}, "largest": {"sort": row}})
+
+        self.assertEqual(largest({"jobs": 8, "started": 4}, jobs=80, cancelled=0),
+                         {"largest sort": 0.5})
+        self.assertEqual(largest({"jobs": 8, "started": 3}, jobs=80, cancelled=40),
+                         {"largest sort": 0.75}, "half of them are not expected")
+        self.assertEqual(largest({"jobs": 8, "started": 3}, jobs=80, cancelled=40, up=0.9),
+                         {"largest sort": 0.375}, "services end by being cancelled")
+        self.assertEqual(largest({"jobs": 8, "started": 8}, jobs=80, cancelled=40),
+                         {"largest sort": 1.0})
+        self.assertEqual(largest({"jobs": 0, "started": 0}, jobs=80, cancelled=0), {})
+        self.assertEqual(largest({"jobs": 4, "started": 0}, jobs=80, cancelled=80), {})
+        self.assertEqual(regress.served_largest({"classes": {}}), {}, "an older bench")
+
     def test_days_fail_on_a_broken_rule_an_end_or_less_than_half_served(self):
         (self.root / "days").mkdir()
         site = '[nodes]\nzones = ["a"]\n[[jobs]]\nname = "sort"\n'
@@ -242,15 +258,16 @@
         team = {"done": 6, "withdrawn": 0, "open": 4, "waiting": 4}
         sort = {"jobs": 12, "started": 10, "done": 6, "cancelled": 2}
 
-        def report(rules=0, panics=0, **row):
+        def report(rules=0, panics=0, big={"jobs": 6, "started": 5}, **row):
             return {"rules_broken": {"total": rules, "by_kind": {"quota": rules} if rules else {}},
-                    "classes": {"sort": dict(sort, **row)}, "node_stats": [{"panics": panics}],
+                    "classes": {"sort": dict(sort, **row)}, "largest": {"sort": big}, "node_stats": [{"panics": panics}],
                     "fleet": {"tasks_lost": 0, "tasks_killed_by_lease": 0},
                     "state": {"refused": 0, "requests": 9}}
 
         for made, row, code, told in (
                 (report(), team, 0, "sort 0.60"),
                 (report(done=4), team, 1, "sort 0.40 served"),
+                (report(big={"jobs": 6, "started": 2}), team, 1, "largest sort 0.40 served"),
                 (report(done=0, up=0.9), team, 0, "red 0.60"),
                 (report(done=0, up=0.4), team, 1, "sort 0.40 served"),
                 (report(), dict(team, waiting=6, open=6), 0, "red 0.50"),
