Old reports: a later session and an end prove nothing before a worker has our token

(1) A new leader whose first word of a machine was a copy of an earlier session took the next report for proof that all commands of before were dead, and let its tasks go elsewhere; but an earlier leader's command for the later session was still on its way, and the worker, not having seen the later token, obeyed. (2) An attempt that had ended and was forgotten, with its leader ended before that was durable, was run again under its number by the next leader; a copy of the report of that end, as the first word to a third one, unbound it while it ran.

Ruled out: trusting (stint, chirp) across terms (a new leader knows no latest), and asking the worker first (its answer would carry the same proof later).

Change: a session's change and an end that is no result count only once the worker has seen a token of our term. It has after one answer, which it reports at once.

--- a/src/core/dialogue.cc
+++ b/src/core/dialogue.cc
@@ -149,13 +149,17 @@
   else
     m.notice_until.reset();
   if (m.notice_until) roster_.Watch(m);
+  // Only a worker that has seen a token of our term takes no command of an earlier leader.
+  const bool ours_alone = m.seen >= base_;
   if (new_session) {
-    // Commands of the earlier session do nothing any more, and all its tasks
-    // are gone. An open push still has to come back before the next is sent.
-    m.fence = std::min(m.fence, m.seen);
+    // Our commands of the earlier session do nothing any more, and all its tasks are gone.
+    // An open push still has to come back before the next is sent. But an earlier leader
+    // may have sent commands for this session, and what we took for the earlier one may
+    // have been a late copy: two sessions alone prove nothing.
+    m.fence = std::max(base_, std::min(m.fence, m.seen));
     m.reply_open = false;
   }
-  const bool conclusive = new_session || Conclusive(m, from_push);
+  const bool conclusive = (new_session && ours_alone) || Conclusive(m, from_push);
 
   for (const Held& held : m.tasks) held.task().seen = false;
   m.last = report.tasks;
@@ -208,6 +212,9 @@
     return;
   }
   if (t.state == TaskState::kEnding) return;
+  // What ended before our term may have been forgotten and begun once more as the same
+  // attempt, and this may be a late copy: it ends nothing. A result stays a result.
+  if (entry.cause != EndCause::kDone && m.seen < base_) return;
   if (entry.cause == EndCause::kDone) {
     Judge(blame_.Ended(job->serial, m.id));
     // What began under an earlier leader has run for longer than we know.
