Announcements: silent controllers are asked last, and all within a second and a half

Need: nobody is held back. A member that hangs cost each cancellation up to 2.7 s, six of them 16 s. Now each is waited for 0.6 s at most, the silent ones come last and all together have 1.5 s; what remains is told when the job is final, and the user is told to come back.

--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -23,6 +23,7 @@
 constexpr Seconds kStateTimeout{1.5};
 constexpr Seconds kCloudTimeout{5};
 constexpr Seconds kMeshTimeout{2};
+constexpr Seconds kToldTimeout{0.6};  // of an announcement: a user waits for all of them
 constexpr Seconds kPushTimeout{2};
 constexpr Seconds kWatchBlock{15};
 constexpr Seconds kTypesEvery{60};
@@ -151,8 +152,10 @@
       cloud_(settings.cloud, kCloudTimeout),
       scheduler_(CoreOptions(settings), {settings.refused_pause, settings.most_per_order}),
       fitness_(settings.report) {
-  for (const Member& m : settings_.others)
+  for (const Member& m : settings_.others) {
     peers_[m.label] = std::make_unique<HttpClient>(m.mesh, Seconds{0.7}, kMeshTimeout, 2);
+    told_peers_[m.label] = std::make_unique<HttpClient>(m.mesh, kToldTimeout, kToldTimeout, 1);
+  }
   // Polls of all controllers together take a part of the state service's rate.
   constexpr double kPollsShare = 0.4;
   const Seconds poll_gap{static_cast<double>(settings_.others.size() + 1) /
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -76,6 +76,8 @@
   HttpStore watch_store_;
   CloudClient cloud_;
   std::map<std::string, std::unique_ptr<HttpClient>> peers_;
+  // The same for announcements, which wait less.
+  std::map<std::string, std::unique_ptr<HttpClient>> told_peers_;
   std::unique_ptr<JobApi> api_;
   std::unique_ptr<CoverKeeper> cover_;
   std::unique_ptr<Announcer> announcer_;
--- a/src/cover/announcer.cc
+++ b/src/cover/announcer.cc
@@ -3,6 +3,7 @@
 namespace magpie {
 namespace {
 constexpr Seconds kNotAgainFor{2};
+constexpr Seconds kPatience{1.5};
 // Beside a lease: an answer that was on its way (4 s, from its report), a direct command
 // that has no answer yet (4 s) and the report after it, and the drift of the clocks.
 constexpr Seconds kOnItsWay{8};
@@ -16,17 +17,30 @@
 Announcer::Announcer(Options options, Hooks hooks)
     : options_(std::move(options)), hooks_(std::move(hooks)) {}
 
+bool Announcer::Order(std::vector<std::string>& members) {
+  std::lock_guard lock(mutex_);
+  std::vector<std::string> last;
+  bool all = true;
+  for (const std::string& member : options_.others) {
+    const auto it = silent_.find(member);
+    if (it == silent_.end())
+      members.push_back(member);
+    else if (hooks_.now() - it->second >= kNotAgainFor)
+      last.push_back(member);
+    else
+      all = false;
+  }
+  members.insert(members.end(), last.begin(), last.end());
+  return all;
+}
+
 bool Announcer::Announce(const JobId& job, Stamp stamp) {
+  const Instant until = hooks_.now() + kPatience;
   bool all = hooks_.take_in(job, stamp);
-  for (const std::string& member : options_.others) {
-    {
-      std::lock_guard lock(mutex_);
-      const auto it = silent_.find(member);
-      if (it != silent_.end() && hooks_.now() - it->second < kNotAgainFor) {
-        all = false;
-        continue;
-      }
-    }
+  std::vector<std::string> members;
+  all = Order(members) && all;
+  for (const std::string& member : members) {
+    if (hooks_.now() >= until) return false;
     const bool knows = hooks_.ask(member, job, stamp);
     all = all && knows;
     std::lock_guard lock(mutex_);
--- a/src/cover/announcer.h
+++ b/src/cover/announcer.h
@@ -6,8 +6,8 @@
 //  (b) when the job is final, so that no task of it is on a machine or can start.
 // Why that suffices, and what the controllers do with it, stands in cover_keeper.h.
 //
-// A member that did not answer is not asked again for a moment, so that a user is not kept
-// waiting for it with each repeat: then (b) is what remains.
+// No user waits for those that do not answer: they are asked last, not again for a moment,
+// and all together for a bounded time. Then (b) is what remains.
 #pragma once
 
 #include <functional>
@@ -43,10 +43,13 @@
   bool Announce(const JobId& job, Stamp stamp);
 
  private:
+  // Those to be asked, the silent ones last; false when some may not be asked now.
+  bool Order(std::vector<std::string>& members);
+
   Options options_;
   Hooks hooks_;
   std::mutex mutex_;
-  std::map<std::string, Instant> silent_;  // when they did not answer
+  std::map<std::string, Instant> silent_;  // when they did not answer last
 };
 
 }  // namespace magpie
--- a/tests/cover_test.cc
+++ b/tests/cover_test.cc
@@ -378,6 +378,25 @@
   EXPECT_TRUE(announcer.Announce({"j-1"}, {7}));
   EXPECT_TRUE(announcer.Announce({"j-1"}, {7}));
   EXPECT_FALSE(Announcer({{"n1", "n2"}, true}, hooks()).Announce({"j-1"}, {7}));
+  // Silent ones are asked last, and none once its time is over.
+  second_answers = false;
+  EXPECT_FALSE(announcer.Announce({"j-1"}, {7}));
+  now = now + Seconds{3};
+  std::vector<std::string> order;
+  Announcer slow({{"n2", "n1", "n3", "n4"}, false},
+                 {[&] { return now; },
+                  [&](const std::string& member, const JobId&, Stamp) {
+                    order.push_back(member);
+                    if (member == "n1") return true;
+                    now = now + Seconds{0.6};
+                    return false;
+                  },
+                  [](const JobId&, Stamp) { return true; }});
+  EXPECT_FALSE(slow.Announce({"j-1"}, {7}));
+  now = now + Seconds{3};
+  order.clear();
+  EXPECT_FALSE(slow.Announce({"j-1"}, {7}));
+  EXPECT_EQ(order, (std::vector<std::string>{"n1", "n2", "n3", "n4"}));
   EXPECT_TRUE(Announcer({{}, false}, hooks()).Announce({"j-1"}, {7})) << "there is nobody else";
   EXPECT_TRUE(Announcer::LeavesRoom({45}, {75}));
   EXPECT_TRUE(Announcer::LeavesRoom({18}, {48}));
--- a/tests/meeting_test.cc
+++ b/tests/meeting_test.cc
@@ -95,7 +95,7 @@
     const int length = draw.Between(1, 60);
     const std::string a = draw.Of(labels);
     const std::string b = draw.Of(labels);
-    switch (draw.Below(9)) {
+    switch (draw.Below(11)) {
       case 0:
         refuse(t, length, a);
         break;
@@ -128,6 +128,25 @@
         at(t + length, "and at once", [m] { m->slow = false; });
         break;
       }
+      case 8:
+        at(t, "reports come again", [&w, &draw] {
+          w.copy_report = [&w, &draw]() -> std::optional<std::pair<Instant, std::string>> {
+            if (!draw.Chance(0.3)) return std::nullopt;
+            return std::pair(w.now + Seconds{1.0 * draw.Between(2, 60)}, draw.Of(w.labels));
+          };
+        });
+        at(t + length, "and do not", [&w] { w.copy_report = [] { return std::nullopt; }; });
+        break;
+      case 9:
+        // The lead goes round: whoever has it ends, again and again.
+        for (int k = 0; k < 4; ++k)
+          at(t + k * draw.Between(1, 9), "the leader ends and is back", [&w] {
+            const std::string lead = w.Leader();
+            if (lead.empty()) return;
+            w.End(lead);
+            w.Start(lead);
+          });
+        break;
       default: {
         const int late = draw.Between(2, 60);
         at(t, "commands are held up for " + std::to_string(late) + " s", [&w, late] {
@@ -165,6 +184,11 @@
           w.completed.insert(task);
         }
       }
+    // Some fail, and are run again.
+    for (auto& m : w.machines)
+      for (std::uint32_t i = 0; i < 3; ++i)
+        if (draw.Chance(0.01) && !m.gone)
+          m.worker.End({{"j-3"}, i}, draw.Chance(0.5) ? EndCause::kError : EndCause::kStopped);
     if (draw.Chance(0.05)) w.Submit("j-3", w.jobs["j-3"], draw.Of(labels));
     w.Second();
   }
@@ -173,6 +197,7 @@
   w.cuts.clear();
   w.still_until.clear();
   w.hold_push = [] { return std::nullopt; };
+  w.copy_report = [] { return std::nullopt; };
   for (const std::string& label : labels) {
     if (!w.runs.contains(label)) w.Start(label);
     w.runs.at(label)->door.refused = false;
--- a/tests/meeting_world.h
+++ b/tests/meeting_world.h
@@ -15,6 +15,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "app/job_api.h"
@@ -237,6 +238,15 @@
         m->worker.Take(it->second);
       it = held_pushes.erase(it);
     }
+    for (auto it = copies.begin(); it != copies.end();) {
+      const auto& [when, where, what] = *it;
+      if (now < when) {
+        ++it;
+        continue;
+      }
+      if (Up(where)) runs.at(where)->desk.Handle(what, false);  // nobody hears the answer
+      it = copies.erase(it);
+    }
     for (Machine& m : machines) Work(m);
     Check();
   }
@@ -283,6 +293,11 @@
   std::deque<Instant> late_writes;
   // Whether the next direct command is held up, and until when.
   std::function<std::optional<Instant>()> hold_push = [] { return std::nullopt; };
+  // Whether a copy of this report arrives once more, when and where.
+  std::function<std::optional<std::pair<Instant, std::string>>()> copy_report = [] {
+    return std::nullopt;
+  };
+  std::list<std::tuple<Instant, std::string, std::string>> copies;  // when, where, what
   int nonces = 0;
   int stale = 0;  // how often a leader's books of its pages were wrong
 
@@ -326,6 +341,7 @@
     if (now < m.next_report) return;
     m.next_report = now + kMeetingReport;
     const std::string body = wire::ReportToJson(m.worker.Snapshot()).dump();
+    if (const auto copy = copy_report()) copies.emplace_back(copy->first, copy->second, body);
     if (m.slow)
       m.on_its_way = {now, body};
     else
