--- a/tests/meeting_test.cc
+++ b/tests/meeting_test.cc
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include <cstdlib>
+#include <iostream>
 
 #include "meeting_world.h"
 #include "world.h"
@@ -18,7 +19,7 @@
 struct Play {
   std::set<std::string> broken;
   std::string story;
-  bool served = true;
+  std::set<std::string> troubles;
 };
 
 class Draw {
@@ -47,7 +48,9 @@
       act();
     });
   };
+  const auto has = [&](const char* trouble) { play.troubles.insert(trouble); };
   const auto refuse = [&](int from, int length, const std::string& label) {
+    has("refused");
     at(from, "the state service refuses " + label, [&w, label] {
       if (w.runs.contains(label)) w.runs.at(label)->door.refused = true;
     });
@@ -56,14 +59,17 @@
     });
   };
   const auto outage = [&](int from, int length) {
+    has("outage");
     at(from, "outage", [&w] { w.store.outage = true; });
     at(from + length, "its end", [&w] { w.store.outage = false; });
   };
   const auto cut = [&](int from, int length, const std::string& a, const std::string& b) {
+    has("cut");
     at(from, a + " can't reach " + b, [&w, a, b] { w.cuts.insert({a, b}); });
     at(from + length, a + " reaches " + b, [&w, a, b] { w.cuts.erase({a, b}); });
   };
   const auto end = [&](int from, int away, const std::string& label) {
+    has("end");
     at(from, label + " ends", [&w, label] { w.End(label); });
     at(from + away, label + " is back", [&w, label] {
       if (!w.runs.contains(label)) w.Start(label);
@@ -110,25 +116,30 @@
         end(t, draw.Below(8), a);
         break;
       case 4:
+        has("all end");
         for (const std::string& label : labels) end(t + draw.Below(2), draw.Below(7), label);
         break;
       case 5:
+        has("still");
         at(t, a + " stands still",
            [&w, a, length] { w.still_until[a] = w.now + Seconds{1.0 * length}; });
         break;
       case 6: {
         auto m = std::next(w.machines.begin(), draw.Below(static_cast<int>(w.machines.size())));
+        has("deaf");
         at(t, "a machine is deaf", [m] { m->deaf = true; });
         at(t + length, "and hears", [m] { m->deaf = false; });
         break;
       }
       case 7: {
         auto m = std::next(w.machines.begin(), draw.Below(static_cast<int>(w.machines.size())));
+        has("slow answers");
         at(t, "a machine is answered slowly", [m] { m->slow = true; });
         at(t + length, "and at once", [m] { m->slow = false; });
         break;
       }
       case 8:
+        has("late reports");
         at(t, "reports come again", [&w, &draw] {
           w.copy_report = [&w, &draw]() -> std::optional<std::pair<Instant, std::string>> {
             if (!draw.Chance(0.3)) return std::nullopt;
@@ -138,6 +149,7 @@
         at(t + length, "and do not", [&w] { w.copy_report = [] { return std::nullopt; }; });
         break;
       case 9:
+        has("lead round");
         // The lead goes round: whoever has it ends, again and again.
         for (int k = 0; k < 4; ++k)
           at(t + k * draw.Between(1, 9), "the leader ends and is back", [&w] {
@@ -148,6 +160,7 @@
           });
         break;
       default: {
+        has("held commands");
         const int late = draw.Between(2, 60);
         at(t, "commands are held up for " + std::to_string(late) + " s", [&w, late] {
           w.hold_push = [&w, late] { return std::optional(w.now + Seconds{1.0 * late}); };
@@ -166,6 +179,7 @@
       w.store.next_commit =
           draw.Chance(0.6) ? FakeStore::Fault::kLandLater : FakeStore::Fault::kLoseAnswer;
       w.late_writes.push_back(w.now + Seconds{1.0 * draw.Between(2, 12)});
+      has("late writes");
       play.story += std::to_string(second) + " s: a write is late\n";
     }
     for (const auto& [job, from] : cancel_at) {
@@ -226,12 +240,20 @@
 
 TEST(Meetings, NoRuleBreaks) {
   const auto [from, to] = Seeds(1, 300);
+  std::map<std::pair<std::string, std::string>, int> pairs;
   for (std::uint64_t seed = from; seed <= to; ++seed) {
     const Play play = PlayOne(seed, Broken::kNot);
     std::string rules;
     for (const std::string& rule : play.broken) rules += " " + rule;
     ASSERT_TRUE(play.broken.empty()) << "seed " << seed << ":" << rules << "\n" << play.story;
+    for (const std::string& a : play.troubles)
+      for (const std::string& b : play.troubles) pairs[{a, b}] += a <= b ? 1 : 0;
   }
+  // By hand: how many seeds had both.
+  if (std::getenv("MAGPIE_SEEDS") != nullptr)
+    for (const auto& [pair, seeds] : pairs)
+      if (seeds > 0)
+        std::cout << "pair " << pair.first << " | " << pair.second << " | " << seeds << "\n";
 }
 
 // The check can fail: with the cover broken on purpose it finds a seed.
