--- a/src/app/job_api.cc
+++ b/src/app/job_api.cc
@@ -236,8 +236,10 @@
     // of it, and is there again, then finds it in its first view.
     if (!hooks_.announce(id, stamp))
       return Unavailable("not every controller knows of it yet: its tasks are being stopped");
-    if (mark(records::kCancelled))
+    if (mark(records::kCancelled)) {
+      spdlog::debug("{} told withdrawn: all know", id.v);
       return Answer(200, wire::JobAnswerToJson({id, wire::kCancelled, 0, 0}, false));
+    }
   }
   return Unavailable("the state service does not answer");
 }
