--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -48,7 +48,6 @@
 constexpr char kMeshCounts[] = "/mesh/counts";
 constexpr char kMeshPing[] = "/mesh/ping";
 constexpr char kMeshCancelled[] = "/mesh/cancelled";
-constexpr Seconds kCoverAgain{0.25};  // until this run is covered
 
 void Sleep(Seconds s) { std::this_thread::sleep_for(duration<double>(s.v)); }
 
@@ -236,7 +235,6 @@
   };
   start(&Controller::MembershipLoop);
   start(&Controller::ControlWatchLoop);
-  start(&Controller::CoverLoop);
   start(&Controller::TypesLoop);
   start(&Controller::LeaderLoop);
   start(&Controller::TickLoop);
@@ -467,6 +465,8 @@
   Backoff backoff(kStepAgain, {0.8});
   Instant free_since = SteadyNow();  // nobody has led since then
   for (;;) {
+    // First of all, so that whoever leads may renew leases from the first report on.
+    cover_->Step();
     bool may_lead = true;
     {
       std::lock_guard lock(mutex_);
@@ -485,7 +485,9 @@
       continue;
     }
     if (view.reached) backoff.Reset();
-    const Seconds step = view.reached ? kStep : backoff.Next(ThreadRandom());
+    const Seconds step = !view.reached      ? backoff.Next(ThreadRandom())
+                         : cover_->Covers() ? kStep
+                                            : kStepAgain;
     std::unique_lock lock(membership_mutex_);
     membership_wake_.wait_for(lock, duration<double>(step.v),
                               [this] { return membership_nudged_; });
@@ -520,12 +522,6 @@
   }
 }
 
-// Until this run is covered, and then no more: what it knows it does not lose.
-void Controller::CoverLoop() {
-  Backoff backoff(kCoverAgain, {1});
-  for (cover_->Step(); !cover_->Covers(); cover_->Step()) PauseLonger(backoff);
-}
-
 // It is about to be told, and we may be commanding its tasks: they stop at once, which needs no
 // state service and is repeated by each answer until they are gone.
 void Controller::HearCancelled(const JobMirror::Cancellation& c) {
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -50,7 +50,6 @@
 
   void MembershipLoop();
   void ControlWatchLoop();
-  void CoverLoop();
   void HearCancelled(const JobMirror::Cancellation& cancellation);
   void TypesLoop();
   void LeaderLoop();
