--- a/tests/meeting_test.cc
+++ b/tests/meeting_test.cc
@@ -140,6 +140,10 @@
       }
       case 8:
         has("late reports");
+        w.first_word = [&draw](std::size_t said) -> std::optional<std::size_t> {
+          if (said == 0 || !draw.Chance(0.5)) return std::nullopt;
+          return static_cast<std::size_t>(draw.Below(static_cast<int>(said)));
+        };
         at(t, "reports come again", [&w, &draw] {
           w.copy_report = [&w, &draw]() -> std::optional<std::pair<Instant, std::string>> {
             if (!draw.Chance(0.3)) return std::nullopt;
@@ -212,6 +216,7 @@
   w.still_until.clear();
   w.hold_push = [] { return std::nullopt; };
   w.copy_report = [] { return std::nullopt; };
+  w.first_word = [](std::size_t) { return std::nullopt; };
   for (const std::string& label : labels) {
     if (!w.runs.contains(label)) w.Start(label);
     w.runs.at(label)->door.refused = false;
--- a/tests/meeting_world.h
+++ b/tests/meeting_world.h
@@ -150,6 +150,7 @@
     bool slow = false;  // its reports take three seconds to be looked at
     std::optional<std::pair<Instant, std::string>> on_its_way;
     int leases_lost = 0;
+    std::deque<std::string> said;  // its latest reports
   };
 
   // --- controllers
@@ -229,6 +230,7 @@
     }
     for (const std::string& label : labels)
       if (Up(label)) runs.at(label)->Step();
+    OldWords();
     for (auto it = held_pushes.begin(); it != held_pushes.end();) {
       if (now < it->first) {
         ++it;
@@ -298,10 +300,27 @@
     return std::nullopt;
   };
   std::list<std::tuple<Instant, std::string, std::string>> copies;  // when, where, what
+  // Which of so many earlier reports of a machine is the first word that a new leader hears
+  // of it; none: its own next one.
+  std::function<std::optional<std::size_t>(std::size_t)> first_word = [](std::size_t) {
+    return std::nullopt;
+  };
   int nonces = 0;
   int stale = 0;  // how often a leader's books of its pages were wrong
 
  private:
+  void OldWords() {
+    const std::string leader = Leader();
+    const Process* now_leads = leader.empty() ? nullptr : runs.at(leader).get();
+    if (now_leads == last_leader_ || now_leads == nullptr) return;
+    last_leader_ = now_leads;
+    for (Machine& m : machines)
+      if (const auto which = first_word(m.said.size()); which && *which < m.said.size() && !m.gone)
+        runs.at(leader)->desk.Handle(m.said[*which], false);
+  }
+
+  const Process* last_leader_ = nullptr;
+
   void ExpireLeases() {
     // Once an outage ends, every lease has its full time again.
     if (store.outage) {
@@ -341,6 +360,8 @@
     if (now < m.next_report) return;
     m.next_report = now + kMeetingReport;
     const std::string body = wire::ReportToJson(m.worker.Snapshot()).dump();
+    m.said.push_back(body);
+    if (m.said.size() > 12) m.said.pop_front();
     if (const auto copy = copy_report()) copies.emplace_back(copy->first, copy->second, body);
     if (m.slow)
       m.on_its_way = {now, body};
