Read again: dead connections for announcements, one way to wake the tick and drop runs

Nobody new is asked after 1.5 s, so a controller that hangs may cost a cancellation up to 2.7 s once, and 4.2 s if it is the last one asked. The unused connections go; what was measured stays as it is, and the pages say it as it is.

Also: waking the tick stood four times in the controller, dropping the runs of cancelled jobs twice in the cover keeper, and the stories' world kept times that nobody read.

--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -23,7 +23,6 @@
 constexpr Seconds kStateTimeout{1.5};
 constexpr Seconds kCloudTimeout{5};
 constexpr Seconds kMeshTimeout{2};
-constexpr Seconds kToldTimeout{0.6};  // of an announcement: a user waits for all of them
 constexpr Seconds kPushTimeout{2};
 constexpr Seconds kWatchBlock{15};
 constexpr Seconds kTypesEvery{60};
@@ -151,10 +150,8 @@
       cloud_(settings.cloud, kCloudTimeout),
       scheduler_(CoreOptions(settings), {settings.refused_pause, settings.most_per_order}),
       fitness_(settings.report) {
-  for (const Member& m : settings_.others) {
+  for (const Member& m : settings_.others)
     peers_[m.label] = std::make_unique<HttpClient>(m.mesh, Seconds{0.7}, kMeshTimeout, 2);
-    told_peers_[m.label] = std::make_unique<HttpClient>(m.mesh, kToldTimeout, kToldTimeout, 1);
-  }
   // Polls of all controllers together take a part of the state service's rate.
   constexpr double kPollsShare = 0.4;
   const Seconds poll_gap{static_cast<double>(settings_.others.size() + 1) /
@@ -197,10 +194,7 @@
           [this] {
             return ReportDesk::Around{leader_label_, epoch_, state_failed_ > state_reached_};
           },
-          [this] {
-            if (scheduler_.wants_tick() && !std::exchange(tick_due_, true)) tick_wake_.notify_one();
-          },
-          [this] { NudgeMembership(); },
+          [this] { WakeTick(); }, [this] { NudgeMembership(); },
           [this](const std::string& member, const std::string& body) {
             return peers_.at(member)->Post(kMeshReport, body);
           }});
@@ -529,7 +523,7 @@
   if (!scheduler_.leading()) return;
   scheduler_.Cancelled(c.job, c.stamp);
   WakePushes();
-  if (scheduler_.wants_tick() && !std::exchange(tick_due_, true)) tick_wake_.notify_one();
+  WakeTick();
 }
 
 void Controller::TypesLoop() {
@@ -667,6 +661,10 @@
 
 // ------------------------------------------------------------- leader's work
 
+void Controller::WakeTick() {
+  if (scheduler_.wants_tick() && !std::exchange(tick_due_, true)) tick_wake_.notify_one();
+}
+
 void Controller::WakePushes() {
   const std::size_t threads = std::min<std::size_t>(scheduler_.pushes_wanted(), kPushThreads);
   for (std::size_t i = 0; i < threads; ++i) push_wake_.notify_one();
@@ -782,7 +780,7 @@
       scheduler_.LoadJob(job.record.spec, job.record.over(), job.stamp);
     scheduler_.OnWriteRejected(plan);
   }
-  if (scheduler_.wants_tick() && !std::exchange(tick_due_, true)) tick_wake_.notify_one();
+  WakeTick();
   WakePushes();
 }
 
@@ -825,7 +823,7 @@
   if (result.end == PushEnd::kAnswered) fitness_.Direct(SteadyNow());
   scheduler_.OnPushEnd(push, result.end, result.report, SteadyNow());
   WakePushes();
-  if (scheduler_.wants_tick() && !std::exchange(tick_due_, true)) tick_wake_.notify_one();
+  WakeTick();
   if (result.end != PushEnd::kAnswered)
     spdlog::debug("push to {}: {}", push.machine.v,
                   result.end == PushEnd::kNotSent ? "not sent" : "no answer");
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -64,6 +64,7 @@
   void CloudLoop();
   bool CarryOut(const CloudCall& call, Instant decided);
   void WakePushes();
+  void WakeTick();
   void Adopt(const Membership::View& view);
   bool StillLeading(const Leadership& leadership);
   bool StepsAside();
@@ -75,8 +76,6 @@
   HttpStore watch_store_;
   CloudClient cloud_;
   std::map<std::string, std::unique_ptr<HttpClient>> peers_;
-  // The same for announcements, which wait less.
-  std::map<std::string, std::unique_ptr<HttpClient>> told_peers_;
   std::unique_ptr<JobApi> api_;
   std::unique_ptr<CoverKeeper> cover_;
   std::unique_ptr<Announcer> announcer_;
--- a/src/cover/announcer.h
+++ b/src/cover/announcer.h
@@ -7,7 +7,7 @@
 // Why that suffices, and what the controllers do with it, stands in cover_keeper.h.
 //
 // No user waits for those that do not answer: they are asked last, not again for a moment,
-// and all together for a bounded time. Then (b) is what remains.
+// and nobody more once a second and a half are over. Then (b) is what remains.
 #pragma once
 
 #include <functional>
--- a/src/cover/cover_keeper.cc
+++ b/src/cover/cover_keeper.cc
@@ -50,9 +50,7 @@
 
 std::optional<Reply> CoverKeeper::Renew(const Report& report, Reply reply) {
   if (!Covers()) return std::nullopt;
-  std::erase_if(reply.commands, [&](const Command& c) {
-    return c.kind == CommandKind::kRun && mirror_.Cancelled(c.task.job);
-  });
+  DropRuns(reply.commands);
   for (const TaskReport& entry : report.tasks) {
     if (entry.mood == TaskMood::kEnded || !mirror_.Cancelled(entry.task.job)) continue;
     const bool told =
@@ -71,8 +69,10 @@
   return Renew(report, std::move(reply));
 }
 
-void CoverKeeper::Screen(Push& push) const {
-  std::erase_if(push.commands, [&](const Command& c) {
+void CoverKeeper::Screen(Push& push) const { DropRuns(push.commands); }
+
+void CoverKeeper::DropRuns(std::vector<Command>& commands) const {
+  std::erase_if(commands, [&](const Command& c) {
     return c.kind == CommandKind::kRun && mirror_.Cancelled(c.task.job);
   });
 }
--- a/src/cover/cover_keeper.h
+++ b/src/cover/cover_keeper.h
@@ -60,6 +60,8 @@
   void Screen(Push& push) const;
 
  private:
+  void DropRuns(std::vector<Command>& commands) const;  // of jobs known to be cancelled
+
   JobMirror& mirror_;
   Cancelled cancelled_;
 };
--- a/tests/meeting_world.h
+++ b/tests/meeting_world.h
@@ -156,7 +156,6 @@
   // --- controllers
   void Start(const std::string& label) {
     runs[label] = std::make_unique<Process>(*this, label, label + "-" + std::to_string(++nonces));
-    began[label] = now;
   }
   void End(const std::string& label) {
     if (auto it = runs.find(label); it != runs.end()) {
@@ -174,7 +173,6 @@
       if (run->core.loaded()) return label;
     return {};
   }
-  // The one with the latest epoch.
   bool Reaches(const std::string& from, const std::string& to) const {
     return !cuts.contains({from, to});
   }
@@ -280,7 +278,6 @@
   WallTime wall{1000};
   std::vector<std::string> labels;
   std::map<std::string, std::unique_ptr<Process>> runs;
-  std::map<std::string, Instant> began;
   std::map<std::string, Instant> still_until;
   std::map<std::uint64_t, Instant> orphans;            // leases of runs that ended
   std::set<std::pair<std::string, std::string>> cuts;  // messages from one to the other
