A deposed leader takes nothing that its successor wrote for its own

The leader's transaction (an end of a job, and bindings) was caught by a cut and never landed. Back in touch 8 s later its repeat met a conflict; the look whether the first try had landed found the job's end, which the next leader had written with the same contents meanwhile, and took the whole transaction for durable: the bindings' tasks were started, though the next leader had bound them elsewhere. It gives a wrong start of any kind: twice, over a limit, in a wrong zone. Ruled out: the reading of the records at the takeover (the next leader had no record of the tasks), late delivery (conditions failed), pages. Change: after a conflict of the leader's key or epoch nothing is taken for ours; otherwise what stands there is compared along with our key and epoch in one transaction. Two stories, which fail on the sources of before.

--- a/src/state/plan_writer.cc
+++ b/src/state/plan_writer.cc
@@ -27,7 +27,7 @@
       case StoreEnd::kConflict: {
         for (const std::string& key : result.failed)
           outcome.deposed |= key == records::kLeader || key == records::kEpoch;
-        const auto landed = uncertain ? Landed(plan) : std::nullopt;
+        const auto landed = uncertain && !outcome.deposed ? Landed(plan, leadership) : std::nullopt;
         if (landed) {
           outcome.end = WriteOutcome::End::kWritten;
           outcome.stamp = *landed;
@@ -55,9 +55,12 @@
   return outcome;
 }
 
-// Whether an earlier try without an answer is what changed the keys. Only the
-// leader writes them, so equal contents at a new stamp can only be ours.
-std::optional<Stamp> PlanWriter::Landed(const WritePlan& plan) {
+// Whether an earlier try without an answer is what changed the keys. Only the leader writes
+// them, so equal contents at a new stamp are ours, as long as we still led when they stood
+// there. The next leader may write the very same end of a job: taken for ours, it passed for
+// a proof that the bindings of the same transaction, which had never landed, were durable.
+std::optional<Stamp> PlanWriter::Landed(const WritePlan& plan,
+                                        const records::Leadership& leadership) {
   std::string key;
   Json expected;
   Stamp before;
@@ -81,13 +84,18 @@
       Wait();
       continue;
     }
-    if (plan.finals.empty() && plan.puts.empty()) {  // nobody else drops pages
-      if (got.entry) return std::nullopt;
-      return Stamp{};
-    }
-    if (!got.entry || got.entry->value != expected || got.entry->stamp <= before)
+    const Stamp there = got.entry ? got.entry->stamp : Stamp{};
+    const bool dropped = plan.finals.empty() && plan.puts.empty();
+    if (dropped ? got.entry.has_value()
+                : !got.entry || got.entry->value != expected || there <= before)
       return std::nullopt;
-    return got.entry->stamp;
+    const Transaction still_ours{
+        {{records::kLeader, leadership.leader}, {records::kEpoch, leadership.epoch}, {key, there}},
+        {}};
+    const TxnResult compared = store_.Commit(still_ours);
+    if (compared.end == StoreEnd::kOk) return there;
+    if (compared.end == StoreEnd::kConflict) return std::nullopt;
+    Wait();
   }
   return std::nullopt;
 }
--- a/src/state/plan_writer.h
+++ b/src/state/plan_writer.h
@@ -44,7 +44,7 @@
 
  private:
   void Wait();
-  std::optional<Stamp> Landed(const WritePlan& plan);
+  std::optional<Stamp> Landed(const WritePlan& plan, const records::Leadership& leadership);
   void Reload(const WritePlan& plan, WriteOutcome& outcome);
 
   Store& store_;
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
 
@@ -30,7 +31,11 @@
   int watches = 0;
   Stamp forgotten;  // changes before this one are not told any more
 
+  // What happens just before the next look at a key.
+  std::function<void()> before_get;
+
   GetResult Get(const std::string& key) override {
+    if (before_get) std::exchange(before_get, nullptr)();
     if (outage) return {StoreEnd::kRefused, std::nullopt};
     auto it = keys_.find(key);
     if (it == keys_.end()) return {StoreEnd::kOk, std::nullopt};
--- a/tests/meeting_test.cc
+++ b/tests/meeting_test.cc
@@ -315,6 +315,80 @@
   }
 }
 
+// A leader's transaction ends one job and binds a task of another; it never arrives, and its
+// sender is cut off. The next leader ends the same job with the same record. Back in touch,
+// the old leader took that for its own writing and started the task, which the next leader
+// had bound elsewhere: found on days/limit-cut-thrissur.toml.
+TEST_F(LateWrites, AnEndThatTheNextLeaderWroteIsNotOurs) {
+  FakeWorker& m1 = AddWorker("m-1", "large");
+  Node& before = AddNode("n0");
+  ASSERT_TRUE(before.TakeOver(now));
+  Report(before, m1);
+  Run(before, MakeJob("j-2"));
+  Settle(before);
+  m1.End({{"j-2"}, 0}, EndCause::kDone);
+  Report(before, m1);
+  Run(before, MakeJob("j-3"));
+  before.core.Tick(now, wall);
+  const WritePlan plan = before.core.NextWrite(now);
+  ASSERT_EQ(plan.finals.size(), 1U);
+  ASSERT_EQ(plan.puts.size(), 1U);
+
+  store.ExpireLeases();
+  Node& after = AddNode("n1");
+  ASSERT_TRUE(after.TakeOver(now));
+  after.core.OnReport(m1.Snapshot(), now);  // the answer is lost: it has not seen the token
+  while (after.WriteOnce(now)) {
+  }
+  ASSERT_EQ(after.Mood("j-2"), "done");
+  // The first try was sent and had no answer, nor did it arrive.
+  store.next_commit = FakeStore::Fault::kLandLater;
+  const WriteOutcome outcome = before.Finish(plan, now);
+  EXPECT_EQ(outcome.end, WriteOutcome::End::kRejected);
+  EXPECT_TRUE(outcome.deposed);
+  EXPECT_FALSE(before.core.NextPush(now)) << "nothing is durable that it could start";
+  FakeWorker& m2 = AddWorker("m-2", "large");
+  Report(after, m2);
+  for (int i = 0; i < 3; ++i) {
+    after.core.Tick(now, wall);
+    while (after.WriteOnce(now)) {
+    }
+    Report(after, m2);
+    m1.Take(before.core.OnReport(m1.Snapshot(), now));
+    EXPECT_LE(LiveEverywhere(), 1U);
+  }
+}
+
+// The same where the lead is lost between the conflict and the look at what stands there.
+TEST_F(LateWrites, WhatStandsThereIsOursOnlyWhileWeLead) {
+  FakeWorker& m1 = AddWorker("m-1", "large");
+  Node& before = AddNode("n0");
+  ASSERT_TRUE(before.TakeOver(now));
+  Report(before, m1);
+  Run(before, MakeJob("j-2"));
+  Settle(before);
+  m1.End({{"j-2"}, 0}, EndCause::kDone);
+  Report(before, m1);
+  Run(before, MakeJob("j-3"));
+  before.core.Tick(now, wall);
+  const WritePlan plan = before.core.NextWrite(now);
+  ASSERT_EQ(plan.finals.size(), 1U);
+  // A user cancels j-3 meanwhile, so the repeat finds a conflict though nobody else leads yet.
+  ASSERT_EQ(before.api.Cancel("j-3").status, 200);
+  store.next_commit = FakeStore::Fault::kLandLater;
+  store.before_get = [&] {
+    store.ExpireLeases();
+    Node& after = AddNode("n1");
+    ASSERT_TRUE(after.TakeOver(now));
+    after.core.OnReport(m1.Snapshot(), now);
+    while (after.WriteOnce(now)) {
+    }
+    ASSERT_EQ(after.Mood("j-2"), "done");
+  };
+  EXPECT_EQ(before.Finish(plan, now).end, WriteOutcome::End::kRejected);
+  EXPECT_FALSE(before.core.NextPush(now));
+}
+
 // Whatever made the leader's books of its pages wrong, it reads them anew and goes on.
 TEST(Meetings, ALeaderWithWrongBooksLeadsAnew) {
   MeetingWorld w;
