--- a/src/core/dialogue.cc
+++ b/src/core/dialogue.cc
@@ -166,20 +166,21 @@
   for (const TaskReport& entry : report.tasks) AbsorbTask(m, entry, now);
 
   if (!conclusive) return;
-  std::vector<Held> lost;
-  for (const Held& held : m.tasks) {
+  const std::vector<Held> all = m.tasks;
+  for (const Held& held : all) {
     const Task& t = held.task();
     if (t.seen || t.state != TaskState::kBound) continue;
     // Absent for sure. A cancelled task or one told to stop is over; one of an
-    // earlier session was killed; any other has not begun and is sent again.
-    if (held.job->cancelled || t.want_stop || new_session || m.notice_until) {
-      lost.push_back(held);
+    // earlier session was killed; any other has not begun and is sent again, if it may be:
+    // that is asked one by one, since each that is unbound makes way for the others.
+    if (held.job->cancelled || t.want_stop || new_session || m.notice_until ||
+        !MayStart(*held.job)) {
+      Unbind(*held.job, held.index, now);
     } else if (t.running) {  // its machine was started anew: it begins once more
       held.task().running = held.task().timed = false;
       NoLongerExpected(*held.job, held.index);
     }
   }
-  for (const Held& held : lost) Unbind(*held.job, held.index, now);
 }
 
 void Scheduler::AbsorbTask(Machine& m, const TaskReport& entry, Instant now) {
@@ -212,9 +213,11 @@
     return;
   }
   if (t.state == TaskState::kEnding) return;
-  // What ended before our term may have been forgotten and begun once more as the same
-  // attempt, and this may be a late copy: it ends nothing. A result stays a result.
-  if (entry.cause != EndCause::kDone && m.seen < base_) return;
+  // What ended before our term may have been forgotten, or lost with its session, and begun
+  // once more as the same attempt, and this may be a late copy: it ends nothing. A result stays
+  // a result, but its quota may not be given away while the attempt runs again. The worker
+  // says it anew within moments, since our token is news to it.
+  if (m.seen < base_) return;
   if (entry.cause == EndCause::kDone) {
     Judge(blame_.Ended(job->serial, m.id));
     // What began under an earlier leader has run for longer than we know.
@@ -285,8 +288,11 @@
     if (full()) break;
     if (held.job->cancelled) continue;
     const Task& t = held.task();
-    if (t.state == TaskState::kBound && !t.seen && !t.want_stop)
+    if (t.state != TaskState::kBound || t.seen || t.want_stop) continue;
+    if (MayStart(*held.job))
       commands.push_back({CommandKind::kRun, held.id(), t.attempt, {}});
+    else
+      withheld_.insert(m.id);
   }
   (void)now;
   return commands;
--- a/src/core/planning.cc
+++ b/src/core/planning.cc
@@ -20,23 +20,38 @@
   if (job.spec.zone && *job.spec.zone != zone) return false;
   auto there = job.in_zone.find(zone);
   const std::uint32_t n = there == job.in_zone.end() ? 0 : there->second;
-  if (job.spec.together && !job.in_zone.empty() && n == 0) return false;
+  // What is held elsewhere, if only by an earlier leader's records, may be there.
+  if (job.spec.together && job.in_zone.size() > (n > 0 ? 1U : 0U)) return false;
   return n < MostPerZone(job.spec);
 }
 
-bool Scheduler::WithinLimit(const Job& job, const std::map<std::string, Resources>& in_use) const {
+bool Scheduler::WithinLimit(const Job& job, const std::map<std::string, Resources>& in_use,
+                            const Resources& more) const {
   constexpr double kSlop = 1e-6;
   for (const Team& team : options_.teams) {
     if (team.name != job.spec.team) continue;
     auto it = in_use.find(team.name);
     Resources use = it == in_use.end() ? Resources{} : it->second;
-    use += job.spec.each;
+    use += more;
     return (team.cpus_max <= 0 || use.cpus <= team.cpus_max + kSlop) &&
            (team.gpus_max <= 0 || use.gpus <= team.gpus_max + kSlop);
   }
   return false;
 }
 
+// Whether a task of the job that is bound, and may not be there, may be started: only while all
+// that its team and its job hold keeps the rules. What this leader binds always does. But an
+// earlier one may have unbound a task in memory alone and given its quota or its zone to
+// another, so that its records have both; then whatever is absent for sure is unbound instead,
+// until the rest keeps the rules. docs/design.md, "Limits and zones", has the proof.
+bool Scheduler::MayStart(const Job& job) const {
+  if (!WithinLimit(job, team_use_, {})) return false;
+  if (job.spec.together && job.in_zone.size() > 1) return false;
+  const std::uint32_t most = MostPerZone(job.spec);
+  return std::all_of(job.in_zone.begin(), job.in_zone.end(),
+                     [&](const auto& zone) { return zone.second <= most; });
+}
+
 // Whether a team that uses this much stays within its guarantee.
 bool Scheduler::Guaranteed(const std::string& name, const Resources& use) const {
   constexpr double kSlop = 1e-6;
@@ -701,7 +716,8 @@
   std::size_t waiting = 0;
   const bool limited = planned.most != Blame::kAll;
   std::uint32_t left = planned.most;
-  while (job.pending.size() > waiting && budget > 0 && left > 0 && WithinLimit(job, plan.use)) {
+  while (job.pending.size() > waiting && budget > 0 && left > 0 &&
+         WithinLimit(job, plan.use, job.spec.each)) {
     --budget;
     --left;
     if (alike != nullptr && *alike > 0) --*alike;
@@ -944,6 +960,7 @@
     look_next_ = now + kLookEvery;
     NoteOverruns(now);
     LookAfterMachines(now);
+    push_wanted_.merge(std::exchange(withheld_, {}));  // they may be started by now
   }
   if (fleet_.types().empty()) return;
   const std::vector<Waiting> ordered = Ordered(now, wall);
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -79,6 +79,7 @@
   places_looked_at_ = 0;
   image_numbers_.clear();
   push_wanted_.clear();
+  withheld_.clear();
   probe_queue_.clear();
   probe_scan_ = {};
   alarm_until_ = {};
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -401,7 +401,10 @@
   void NoteFirstFailure(const Machine& m, Instant now);
   bool Usable(const Machine& m) const;
   bool ZoneOk(const Job& job, const std::string& zone) const;
-  bool WithinLimit(const Job& job, const std::map<std::string, Resources>& use) const;
+  // Whether the job's team may use so much more.
+  bool WithinLimit(const Job& job, const std::map<std::string, Resources>& use,
+                   const Resources& more) const;
+  bool MayStart(const Job& job) const;
   Resources Room(const Machine& m, const MachineType& type) const;
   struct Due {
     Seconds target;       // from now
@@ -545,6 +548,7 @@
   std::map<std::string, std::uint32_t> image_numbers_;
   std::set<Job*> waiting_;  // jobs with tasks to be placed, and some that had
   std::set<MachineId> push_wanted_;
+  std::set<MachineId> withheld_;  // machines with a task that may not be started yet
   std::deque<MachineId> probe_queue_;
   Instant probe_scan_;
   Instant alarm_until_;                         // machines were found dead
--- /dev/null
+++ b/tests/limit_test.cc
@@ -0,0 +1,228 @@
+// A team's limit and a job's zone rules over a change of leader. What a leader has unbound
+// stands in the records as bound until its page is written again, while another task may have
+// taken its quota or its zone's share and be durable. Whoever leads next reads both as bound.
+#include "world.h"
+
+namespace magpie::testing {
+namespace {
+
+class LimitStory : public World {
+ protected:
+  static constexpr double kLimit = 6;  // CPUs of the team "blue"
+
+  JobSpec Blue(const std::string& id, std::uint32_t tasks, Priority priority) const {
+    JobSpec spec = MakeJob(id, tasks);
+    spec.team = "blue";
+    spec.priority = priority;
+    return spec;
+  }
+
+  // n0 leads, and m-1 runs a task of j-1 beside so many records of others that its page is not
+  // soon written again.
+  void Begin(std::uint32_t tasks, bool together = false, bool apart = false) {
+    m1 = &AddWorker("m-1", "large", "a");
+    before = &AddNode("n0");
+    ASSERT_TRUE(before->TakeOver(now));
+    Report(*before, *m1);
+    JobSpec many = MakeJob("j-9", 60);
+    many.each = {0.01, 0, 0.01};
+    Run(*before, many);
+    JobSpec first = Blue("j-1", tasks, Priority::kNormal);
+    first.together = together;
+    first.apart = apart;
+    Run(*before, first);
+    Settle(*before);
+    ASSERT_EQ(BlueUse(), 2.0 * tasks);
+  }
+
+  double BlueUse() const {
+    double use = 0;
+    for (const FakeWorker& w : workers_)
+      for (const char* job : {"j-1", "j-2"})
+        for (std::uint32_t i = 0; i < 3; ++i) use += w.Has({{job}, i}) ? 2 : 0;
+    return use;
+  }
+
+  // n0 takes in what m-1 says, and gives the room that it sees to j-2 on m-2.
+  void AnotherTakesItsPlace() {
+    before->core.OnReport(m1->Snapshot(), now);  // the answer is lost
+    m2 = &AddWorker("m-2", "large", "b");
+    Run(*before, Blue("j-2", 3, Priority::kProduction));
+    for (int i = 0; i < 3; ++i) {
+      Report(*before, *m2);
+      before->core.Tick(now, wall);
+      while (before->WriteOnce(now)) {
+      }
+      EXPECT_LE(BlueUse(), kLimit);
+    }
+  }
+
+  void NextLeads() {
+    store.ExpireLeases();
+    after = &AddNode("n1");
+    ASSERT_TRUE(after->TakeOver(now));
+  }
+
+  // Both machines report to the next leader, in either order, for a while.
+  void BothReport(bool m1_first) {
+    for (int i = 0; i < 6; ++i) {
+      for (FakeWorker* w : {m1_first ? m1 : m2, m1_first ? m2 : m1}) {
+        Report(*after, *w);
+        EXPECT_LE(BlueUse(), kLimit);
+        after->core.Tick(now, wall);
+        while (after->WriteOnce(now)) {
+        }
+        while (auto push = after->core.NextPush(now)) {
+          FakeWorker& to = push->machine == m1->id() ? *m1 : *m2;
+          to.Take(*push);
+          after->core.OnPushEnd(*push, PushEnd::kAnswered, to.Snapshot(), now);
+          EXPECT_LE(BlueUse(), kLimit);
+        }
+      }
+      Pass(1);
+    }
+  }
+
+  Node* before = nullptr;
+  Node* after = nullptr;
+  FakeWorker* m1 = nullptr;
+  FakeWorker* m2 = nullptr;
+};
+
+// Every way in which a machine that lives gives up a task.
+TEST_F(LimitStory, WhatWasUnboundInMemoryAloneIsNotStartedOverTheLimit) {
+  const std::map<std::string, std::function<void(FakeWorker&)>> ways{
+      {"a new session", [](FakeWorker& w) { w.LeaseEnds(); }},
+      {"an error", [](FakeWorker& w) { w.EndAll(EndCause::kError); }},
+      {"stopped", [](FakeWorker& w) { w.EndAll(EndCause::kStopped); }},
+      {"no room", [](FakeWorker& w) { w.EndAll(EndCause::kNoRoom); }},
+      {"busy", [](FakeWorker& w) { w.EndAll(EndCause::kBusy); }},
+      {"unknown", [](FakeWorker& w) { w.EndAll(EndCause::kUnknown); }},
+      {"a notice",
+       [](FakeWorker& w) {
+         w.Restart(false);
+         w.Notice({300});
+       }},
+  };
+  for (const auto& [name, way] : ways)
+    for (const bool m1_first : {true, false}) {
+      SCOPED_TRACE(name + (m1_first ? ", m-1 reports first" : ", m-2 reports first"));
+      store = FakeStore{};
+      nodes_.clear();
+      workers_.clear();
+      Begin(3);
+      way(*m1);
+      AnotherTakesItsPlace();
+      // It has forgotten what ended, at n0's word.
+      m1->Take(before->core.OnReport(m1->Snapshot(), now));
+      NextLeads();
+      BothReport(m1_first);
+      EXPECT_EQ(BlueUse(), kLimit) << "all that the limit allows runs";
+    }
+}
+
+// Nor in a zone that the job's other tasks do not allow.
+TEST_F(LimitStory, WhatWasUnboundInMemoryAloneIsNotStartedInAnotherZone) {
+  for (const bool m1_first : {true, false}) {
+    SCOPED_TRACE(m1_first);
+    store = FakeStore{};
+    nodes_.clear();
+    workers_.clear();
+    Begin(3, true);
+    m1->EndAll(EndCause::kStopped);
+    before->core.OnReport(m1->Snapshot(), now);
+    // Other work takes all of m-1; in the other zone there is room for two of the three.
+    JobSpec red = MakeJob("j-4");
+    red.each = {15, 0, 4};
+    red.priority = Priority::kProduction;
+    Run(*before, red);
+    before->core.Tick(now, wall);
+    m2 = &AddWorker("m-2", "small", "b");
+    for (int i = 0; i < 3; ++i) {
+      Pass(1);
+      Report(*before, *m2);
+      before->core.Tick(now, wall);
+      while (before->WriteOnce(now)) {
+      }
+    }
+    Report(*before, *m2);
+    ASSERT_EQ(BlueUse(), 4) << "two of them run in zone b";
+    m1->Take(before->core.OnReport(m1->Snapshot(), now));  // it forgets what ended
+    NextLeads();
+    for (int i = 0; i < 8; ++i) {
+      for (FakeWorker* w : {m1_first ? m1 : m2, m1_first ? m2 : m1}) {
+        Report(*after, *w);
+        EXPECT_EQ(m1->Has({{"j-1"}, 0}) + m1->Has({{"j-1"}, 1}) + m1->Has({{"j-1"}, 2}), 0);
+      }
+      after->core.Tick(now, wall);
+      while (after->WriteOnce(now)) {
+      }
+      Pass(1);
+    }
+    EXPECT_EQ(BlueUse(), 4);
+  }
+}
+
+// A result that an earlier session told is a fact, but the same attempt may have been begun
+// once more since, and a copy of the old report be the next leader's first word. Its quota is
+// not given away while it runs.
+TEST_F(LimitStory, AResultToldBeforeOurTermGivesNoQuotaAway) {
+  Begin(3);
+  for (std::uint32_t i = 0; i < 3; ++i) m1->End({{"j-1"}, i}, EndCause::kDone);
+  const magpie::Report of_the_results = m1->Snapshot();
+  m1->LeaseEnds();  // n0 never heard of them, and ends
+  NextLeads();
+  Report(*after, *m1);
+  Report(*after, *m1);
+  Report(*after, *m1);
+  ASSERT_EQ(BlueUse(), kLimit) << "the same attempts once more";
+  store.ExpireLeases();
+  Node& third = AddNode("n2");
+  ASSERT_TRUE(third.TakeOver(now));
+  third.core.OnReport(of_the_results, now);
+  Run(third, Blue("j-2", 3, Priority::kProduction));
+  m2 = &AddWorker("m-2", "large", "b");
+  for (int i = 0; i < 4; ++i) {
+    third.core.Tick(now, wall);
+    while (third.WriteOnce(now)) {
+    }
+    Report(third, *m2);
+    EXPECT_LE(BlueUse(), kLimit);
+  }
+  // The worker itself says later what it runs, and what it ends counts at once.
+  Report(third, *m1);
+  m1->EndAll(EndCause::kDone);
+  for (int i = 0; i < 4; ++i) {
+    Report(third, *m1);
+    third.core.Tick(now, wall);
+    while (third.WriteOnce(now)) {
+    }
+    Report(third, *m2);
+    EXPECT_LE(BlueUse(), kLimit);
+  }
+  EXPECT_EQ(third.Mood("j-1"), "done");
+  EXPECT_EQ(BlueUse(), kLimit);
+}
+
+// A limit that was lowered while nobody led starts nothing above it either.
+TEST_F(LimitStory, ALoweredLimitStartsNothingAboveIt) {
+  Begin(3);
+  m1->LeaseEnds();
+  store.ExpireLeases();
+  Scheduler::Options options = DefaultOptions();
+  options.teams[1].cpus_max = 2;
+  after = &nodes_.emplace_back(store, "n1", options);
+  ASSERT_TRUE(after->TakeOver(now));
+  for (int i = 0; i < 5; ++i) {
+    Report(*after, *m1);
+    EXPECT_LE(BlueUse(), 2);
+    after->core.Tick(now, wall);
+    while (after->WriteOnce(now)) {
+    }
+    Pass(1);
+  }
+  EXPECT_EQ(BlueUse(), 2);
+}
+
+}  // namespace
+}  // namespace magpie::testing
--- a/tests/meeting_test.cc
+++ b/tests/meeting_test.cc
@@ -274,7 +274,45 @@
 
 // ------------------------------------------------------- late transactions, one by one
 
-class LateWrites : public World {};
+class LateWrites : public World {
+ protected:
+  // n0 leads, and is about to write that j-2, which ran on m-1, is over, and that j-3 is
+  // bound to m-2.
+  std::pair<Node*, WritePlan> AnEndAndABinding() {
+    m1 = &AddWorker("m-1", "large");
+    Node& before = AddNode("n0");
+    EXPECT_TRUE(before.TakeOver(now));
+    Report(before, *m1);
+    Run(before, MakeJob("j-2"));
+    Settle(before);
+    m1->End({{"j-2"}, 0}, EndCause::kDone);
+    Report(before, *m1);
+    m2 = &AddWorker("m-2", "small");
+    Report(before, *m2);
+    Run(before, MakeJob("j-3"));
+    before.core.Tick(now, wall);
+    WritePlan plan = before.core.NextWrite(now);
+    EXPECT_EQ(plan.finals.size(), 1U);
+    EXPECT_EQ(plan.puts.size(), 1U);
+    return {&before, std::move(plan)};
+  }
+
+  // n1 takes the lead, hears of the result and writes the end. m-2 is not heard of.
+  Node& NextWritesTheEnd() {
+    store.ExpireLeases();
+    Node& after = AddNode("n1");
+    EXPECT_TRUE(after.TakeOver(now));
+    Report(after, *m1);
+    Report(after, *m1);
+    while (after.WriteOnce(now)) {
+    }
+    EXPECT_EQ(after.Mood("j-2"), "done");
+    return after;
+  }
+
+  FakeWorker* m1 = nullptr;
+  FakeWorker* m2 = nullptr;
+};
 
 // A page that nobody needs is dropped, and the answer is lost. The leader took its repeat's
 // conflict for a refusal, kept the page in its books with a stamp that no key has, and
@@ -320,73 +358,34 @@
 // the old leader took that for its own writing and started the task, which the next leader
 // had bound elsewhere: found on days/limit-cut-thrissur.toml.
 TEST_F(LateWrites, AnEndThatTheNextLeaderWroteIsNotOurs) {
-  FakeWorker& m1 = AddWorker("m-1", "large");
-  Node& before = AddNode("n0");
-  ASSERT_TRUE(before.TakeOver(now));
-  Report(before, m1);
-  Run(before, MakeJob("j-2"));
-  Settle(before);
-  m1.End({{"j-2"}, 0}, EndCause::kDone);
-  Report(before, m1);
-  Run(before, MakeJob("j-3"));
-  before.core.Tick(now, wall);
-  const WritePlan plan = before.core.NextWrite(now);
-  ASSERT_EQ(plan.finals.size(), 1U);
-  ASSERT_EQ(plan.puts.size(), 1U);
-
-  store.ExpireLeases();
-  Node& after = AddNode("n1");
-  ASSERT_TRUE(after.TakeOver(now));
-  after.core.OnReport(m1.Snapshot(), now);  // the answer is lost: it has not seen the token
-  while (after.WriteOnce(now)) {
-  }
-  ASSERT_EQ(after.Mood("j-2"), "done");
+  const auto [before, plan] = AnEndAndABinding();
+  Node& after = NextWritesTheEnd();
   // The first try was sent and had no answer, nor did it arrive.
   store.next_commit = FakeStore::Fault::kLandLater;
-  const WriteOutcome outcome = before.Finish(plan, now);
+  const WriteOutcome outcome = before->Finish(plan, now);
   EXPECT_EQ(outcome.end, WriteOutcome::End::kRejected);
   EXPECT_TRUE(outcome.deposed);
-  EXPECT_FALSE(before.core.NextPush(now)) << "nothing is durable that it could start";
-  FakeWorker& m2 = AddWorker("m-2", "large");
-  Report(after, m2);
+  EXPECT_FALSE(before->core.NextPush(now)) << "nothing is durable that it could start";
+  FakeWorker& m3 = AddWorker("m-3", "small");
   for (int i = 0; i < 3; ++i) {
+    Report(after, m3);
     after.core.Tick(now, wall);
     while (after.WriteOnce(now)) {
     }
-    Report(after, m2);
-    m1.Take(before.core.OnReport(m1.Snapshot(), now));
+    m2->Take(before->core.OnReport(m2->Snapshot(), now));
     EXPECT_LE(LiveEverywhere(), 1U);
   }
 }
 
 // The same where the lead is lost between the conflict and the look at what stands there.
 TEST_F(LateWrites, WhatStandsThereIsOursOnlyWhileWeLead) {
-  FakeWorker& m1 = AddWorker("m-1", "large");
-  Node& before = AddNode("n0");
-  ASSERT_TRUE(before.TakeOver(now));
-  Report(before, m1);
-  Run(before, MakeJob("j-2"));
-  Settle(before);
-  m1.End({{"j-2"}, 0}, EndCause::kDone);
-  Report(before, m1);
-  Run(before, MakeJob("j-3"));
-  before.core.Tick(now, wall);
-  const WritePlan plan = before.core.NextWrite(now);
-  ASSERT_EQ(plan.finals.size(), 1U);
+  const auto [before, plan] = AnEndAndABinding();
   // A user cancels j-3 meanwhile, so the repeat finds a conflict though nobody else leads yet.
-  ASSERT_EQ(before.api.Cancel("j-3").status, 200);
+  ASSERT_EQ(before->api.Cancel("j-3").status, 200);
   store.next_commit = FakeStore::Fault::kLandLater;
-  store.before_get = [&] {
-    store.ExpireLeases();
-    Node& after = AddNode("n1");
-    ASSERT_TRUE(after.TakeOver(now));
-    after.core.OnReport(m1.Snapshot(), now);
-    while (after.WriteOnce(now)) {
-    }
-    ASSERT_EQ(after.Mood("j-2"), "done");
-  };
-  EXPECT_EQ(before.Finish(plan, now).end, WriteOutcome::End::kRejected);
-  EXPECT_FALSE(before.core.NextPush(now));
+  store.before_get = [&] { NextWritesTheEnd(); };
+  EXPECT_EQ(before->Finish(plan, now).end, WriteOutcome::End::kRejected);
+  EXPECT_FALSE(before->core.NextPush(now));
 }
 
 // Whatever made the leader's books of its pages wrong, it reads them anew and goes on.
