--- a/tests/fake_worker.h
+++ b/tests/fake_worker.h
@@ -89,6 +89,8 @@
     return n;
   }
   std::size_t Listed() const { return report_.tasks.size(); }
+  const std::vector<TaskReport>& tasks() const { return report_.tasks; }
+  const std::string& zone() const { return report_.zone; }
   Token token() const { return report_.token; }
 
  private:
--- a/tests/meeting_test.cc
+++ b/tests/meeting_test.cc
@@ -27,6 +27,11 @@
   explicit Draw(std::uint64_t seed) : random_(seed) {}
   int Below(int n) { return std::uniform_int_distribution<int>(0, n - 1)(random_); }
   int Between(int a, int b) { return a + Below(b - a + 1); }
+  // Whole seconds, 0.8 to 2 times as long.
+  int About(Seconds lease) {
+    const std::vector<double> times{0.8, 1, 1.1, 1.2, 2};
+    return static_cast<int>(times[static_cast<std::size_t>(Below(5))] * lease.v);
+  }
   bool Chance(double p) { return std::bernoulli_distribution(p)(random_); }
   const std::string& Of(const std::vector<std::string>& all) {
     return all[static_cast<std::size_t>(Below(static_cast<int>(all.size())))];
@@ -39,8 +44,21 @@
 // One seed: a minute and a half of troubles, then a quiet time in which all must be well.
 Play PlayOne(std::uint64_t seed, Broken how) {
   Draw draw(seed);
-  MeetingWorld w(how);
+  // Small pages are seldom written for others, so records of what was unbound stay longer.
+  MeetingWorld w(how, 3, 5, draw.Chance(0.5) ? 900 : 15UL * 1024);
   Play play;
+  w.odd["j-5"] = [](JobSpec& spec) {
+    spec.team = "blue";
+    spec.together = true;
+  };
+  w.odd["j-6"] = [](JobSpec& spec) {
+    spec.team = "blue";
+    spec.apart = true;
+  };
+  w.odd["j-7"] = [](JobSpec& spec) {
+    spec.team = "blue";
+    spec.priority = Priority::kHigh;
+  };
   std::multimap<int, std::function<void()>> plan;
   const auto at = [&](int second, std::string what, std::function<void()> act) {
     plan.emplace(second, [&w, &play, what = std::move(what), act = std::move(act)] {
@@ -79,7 +97,8 @@
 
   w.Pass(3);
   for (const char* job : {"j-1", "j-2", "j-3", "j-4"})
-    w.Submit(job, static_cast<std::uint32_t>(draw.Between(2, 3)), "n1");
+    w.Submit(job, static_cast<std::uint32_t>(draw.Between(1, 2)), "n1");
+  for (const char* job : {"j-5", "j-6"}) w.Submit(job, 3, "n1");
   w.Pass(8);
   const std::string leader = w.Leader();
 
@@ -101,7 +120,8 @@
     const int length = draw.Between(1, 60);
     const std::string a = draw.Of(labels);
     const std::string b = draw.Of(labels);
-    switch (draw.Below(11)) {
+    auto machine = std::next(w.machines.begin(), draw.Below(static_cast<int>(w.machines.size())));
+    switch (draw.Below(16)) {
       case 0:
         refuse(t, length, a);
         break;
@@ -124,18 +144,74 @@
         at(t, a + " stands still",
            [&w, a, length] { w.still_until[a] = w.now + Seconds{1.0 * length}; });
         break;
-      case 6: {
-        auto m = std::next(w.machines.begin(), draw.Below(static_cast<int>(w.machines.size())));
+      case 6:
         has("deaf");
-        at(t, "a machine is deaf", [m] { m->deaf = true; });
-        at(t + length, "and hears", [m] { m->deaf = false; });
+        at(t, "a machine is deaf", [machine] { machine->deaf = true; });
+        at(t + length, "and hears", [machine] { machine->deaf = false; });
         break;
-      }
-      case 7: {
-        auto m = std::next(w.machines.begin(), draw.Below(static_cast<int>(w.machines.size())));
+      case 7:
         has("slow answers");
-        at(t, "a machine is answered slowly", [m] { m->slow = true; });
-        at(t + length, "and at once", [m] { m->slow = false; });
+        at(t, "a machine is answered slowly", [machine] { machine->slow = true; });
+        at(t + length, "and at once", [machine] { machine->slow = false; });
+        break;
+      case 11:
+        has("dead");
+        if (machine != w.machines.begin())  // one stays
+          at(t, "a machine dies", [&w, machine] {
+            if (machine->gone) return;
+            machine->gone = true;
+            machine->died = w.now;
+          });
+        break;
+      case 12: {
+        has("zone cut");
+        const std::string zone = draw.Chance(0.5) ? "a" : "b";
+        const int spell = draw.About(kMeetingLease);
+        at(t, "the machines of zone " + zone + " are cut off", [&w, zone] {
+          for (auto& m : w.machines) m.cut |= m.worker.zone() == zone;
+        });
+        at(t + spell, "and are not", [&w, zone] {
+          for (auto& m : w.machines)
+            if (m.worker.zone() == zone) m.cut = false;
+        });
+        break;
+      }
+      case 13: {
+        has("mute");
+        const int spell = draw.About(kMeetingLease);
+        at(t, "a machine is mute", [machine] { machine->mute = true; });
+        at(t + spell, "and is heard", [machine] { machine->mute = false; });
+        break;
+      }
+      case 14:
+        has("429s");
+        at(t, "a third of the calls are too many", [&w, &draw] {
+          for (auto& [label, run] : w.runs)
+            run->door.over_rate = [&draw] { return draw.Chance(0.3); };
+        });
+        at(t + length, "and none are", [&w] {
+          for (auto& [label, run] : w.runs) run->door.over_rate = [] { return false; };
+        });
+        break;
+      case 15: {
+        // Machines are out of reach for about a lease, and the lead changes as they are back.
+        has("about a lease");
+        const int spell = draw.About(kMeetingLease);
+        const int kind = draw.Below(3);
+        for (auto m = w.machines.begin(); m != w.machines.end(); ++m)
+          if (draw.Chance(0.6)) {
+            at(t, m->worker.id().v + " is out of reach", [m, kind] {
+              (kind == 0 ? m->deaf : kind == 1 ? m->mute : m->cut) = true;
+            });
+            at(t + spell, "and back", [m] { m->deaf = m->mute = m->cut = false; });
+          }
+        for (int k = 0; k < 3; ++k)
+          at(t + spell + draw.Between(-2, 9), "the leader ends and is back", [&w] {
+            const std::string lead = w.Leader();
+            if (lead.empty()) return;
+            w.End(lead);
+            w.Start(lead);
+          });
         break;
       }
       case 8:
@@ -204,9 +280,12 @@
       }
     // Some fail, and are run again.
     for (auto& m : w.machines)
-      for (std::uint32_t i = 0; i < 3; ++i)
-        if (draw.Chance(0.01) && !m.gone)
-          m.worker.End({{"j-3"}, i}, draw.Chance(0.5) ? EndCause::kError : EndCause::kStopped);
+      for (const char* job : {"j-3", "j-5", "j-6"})
+        for (std::uint32_t i = 0; i < 3; ++i)
+          if (draw.Chance(0.01) && !m.gone)
+            m.worker.End({{job}, i}, draw.Chance(0.5) ? EndCause::kError : EndCause::kStopped);
+    // More work for the team at its limit.
+    if (second == 12) w.Submit("j-7", 2, draw.Of(labels));
     if (draw.Chance(0.05)) w.Submit("j-3", w.jobs["j-3"], draw.Of(labels));
     w.Second();
   }
@@ -220,8 +299,9 @@
   for (const std::string& label : labels) {
     if (!w.runs.contains(label)) w.Start(label);
     w.runs.at(label)->door.refused = false;
+    w.runs.at(label)->door.over_rate = [] { return false; };
   }
-  for (auto& m : w.machines) m.deaf = m.slow = false;
+  for (auto& m : w.machines) m.deaf = m.slow = m.mute = m.cut = false;
   w.Pass(50);
   for (const auto& [job, tasks] : w.jobs)
     for (const std::string& label : labels) {
--- a/tests/meeting_world.h
+++ b/tests/meeting_world.h
@@ -36,46 +36,53 @@
 inline constexpr Seconds kMeetingCancel{45};
 inline constexpr Seconds kMeetingReport{3};
 inline constexpr Seconds kMeetingLeaderLease{4};
+inline constexpr double kMeetingLimit = 8;  // CPUs of the team "blue"
 
 // One controller's way to the state service.
 class Door : public Store {
  public:
   Door(FakeStore& store, const Instant& now) : store_(store), now_(now) {}
   bool refused = false;
+  // Whether the next call is one too many (429): for one that changes nothing by itself.
+  std::function<bool()> over_rate = [] { return false; };
   std::map<std::uint64_t, Instant> touched;  // leases granted through here
 
   bool open() const { return !refused && !store_.outage; }
   GetResult Get(const std::string& key) override {
-    return refused ? GetResult{StoreEnd::kRefused, std::nullopt} : store_.Get(key);
+    return No() ? GetResult{StoreEnd::kRefused, std::nullopt} : store_.Get(key);
   }
   RangeResult Range(const std::string& prefix, const std::string& after,
                     std::uint32_t page) override {
-    if (!refused) return store_.Range(prefix, after, page);
+    if (!No()) return store_.Range(prefix, after, page);
     RangeResult result;
     result.end = StoreEnd::kRefused;
     return result;
   }
   TxnResult Commit(const Transaction& txn) override {
-    return refused ? TxnResult{StoreEnd::kRefused, {}, {}, false} : store_.Commit(txn);
+    const bool too_many = over_rate();
+    return refused || too_many ? TxnResult{StoreEnd::kRefused, {}, {}, too_many}
+                               : store_.Commit(txn);
   }
   LeaseResult Grant(Seconds life) override {
-    if (refused) return {StoreEnd::kRefused, {}};
+    if (No()) return {StoreEnd::kRefused, {}};
     const LeaseResult result = store_.Grant(life);
     if (result.end == StoreEnd::kOk) touched[result.lease.v] = now_;
     return result;
   }
   StoreEnd Touch(LeaseId lease) override {
-    if (refused) return StoreEnd::kRefused;
+    if (No()) return StoreEnd::kRefused;
     const StoreEnd end = store_.Touch(lease);
     if (end == StoreEnd::kOk) touched[lease.v] = now_;
     return end;
   }
   WatchResult Watch(const std::string& prefix, Stamp after, Seconds block) override {
-    return refused ? WatchResult{StoreEnd::kRefused, false, {}, {}}
-                   : store_.Watch(prefix, after, block);
+    return No() ? WatchResult{StoreEnd::kRefused, false, {}, {}}
+                : store_.Watch(prefix, after, block);
   }
 
  private:
+  bool No() { return refused || over_rate(); }
+
   FakeStore& store_;
   const Instant& now_;
 };
@@ -127,8 +134,9 @@
 
 class MeetingWorld {
  public:
-  explicit MeetingWorld(Broken how = Broken::kNot, int controllers = 3, int workers = 4)
-      : broken(how) {
+  explicit MeetingWorld(Broken how = Broken::kNot, int controllers = 3, int workers = 4,
+                        std::size_t page_bytes = 15UL * 1024)
+      : broken(how), page_bytes(page_bytes) {
     for (int i = 0; i < controllers; ++i) labels.push_back("n" + std::to_string(i));
     for (const std::string& label : labels) Start(label);
     for (int i = 0; i < workers; ++i) {
@@ -146,11 +154,15 @@
     Instant next_report;
     Instant renewed;  // when the last answered report was sent
     bool deaf = false;
-    bool gone = false;
-    bool slow = false;  // its reports take three seconds to be looked at
+    bool mute = false;            // its reports reach nobody; commands reach it
+    bool cut = false;             // nothing reaches it or comes from it
+    bool gone = false;            // died or returned
+    std::optional<Instant> died;  // stays in the cloud's list
+    bool slow = false;            // its reports take three seconds to be looked at
     std::optional<std::pair<Instant, std::string>> on_its_way;
     int leases_lost = 0;
     std::deque<std::string> said;  // its latest reports
+    bool Hears() const { return !gone && !deaf && !cut; }
   };
 
   // --- controllers
@@ -178,14 +190,21 @@
   }
 
   // --- users
+  // Odd things that the seed gives a job: its team and its zone rules.
+  std::map<std::string, std::function<void(JobSpec&)>> odd;
   JobSpec Spec(const std::string& job, std::uint32_t tasks) const {
     JobSpec spec = MakeJob(job, tasks);
     spec.spot = false;
+    if (const auto it = odd.find(job); it != odd.end()) it->second(spec);
     return spec;
   }
   bool Submit(const std::string& job, std::uint32_t tasks, const std::string& via) {
     if (!Up(via)) return false;
-    const int status = runs.at(via)->api.Submit(wire::JobToRecord(Spec(job, tasks)).dump()).status;
+    // No time passes in here, so that a submission could not wait for its turn.
+    Process& run = *runs.at(via);
+    const auto over_rate = std::exchange(run.door.over_rate, [] { return false; });
+    const int status = run.api.Submit(wire::JobToRecord(Spec(job, tasks)).dump()).status;
+    run.door.over_rate = over_rate;
     if (status == 200 || status == 201) jobs[job] = tasks;
     return status == 200 || status == 201;
   }
@@ -234,8 +253,10 @@
         ++it;
         continue;
       }
-      if (Machine* m = Find(it->second.machine); m != nullptr && !m->gone && !m->deaf)
+      if (Machine* m = Find(it->second.machine); m != nullptr && m->Hears()) {
         m->worker.Take(it->second);
+        Check();
+      }
       it = held_pushes.erase(it);
     }
     for (auto it = copies.begin(); it != copies.end();) {
@@ -272,7 +293,32 @@
     return n;
   }
 
+  // The rules, from the workers' side.
+  void Check() {
+    std::set<TaskId> live;
+    std::map<std::string, double> use;
+    std::map<std::string, std::map<std::string, std::uint32_t>> in_zone;
+    for (const Machine& m : machines) {
+      if (m.gone) continue;
+      for (const TaskReport& t : m.worker.tasks()) {
+        if (t.mood == TaskMood::kEnded) continue;
+        const std::string& job = t.task.job.v;
+        if (!live.insert(t.task).second) broken_rules.insert("ran_twice");
+        if (!odd.contains(job)) continue;
+        const JobSpec spec = Spec(job, jobs[job]);
+        use[spec.team] += spec.each.cpus;
+        const std::uint32_t here = ++in_zone[job][m.worker.zone()];
+        if (here > MostPerZone(spec) || (spec.together && in_zone[job].size() > 1))
+          broken_rules.insert("wrong_place");
+      }
+    }
+    if (use["blue"] > kMeetingLimit) broken_rules.insert("quota");
+    for (const auto& [job, at] : told)
+      if (now - at > kMeetingCancel && Live(job) > 0) broken_rules.insert("ran_cancelled");
+  }
+
   Broken broken;
+  std::size_t page_bytes;  // that a page of records may take
   FakeStore store;
   Instant now{100};
   WallTime wall{1000};
@@ -372,7 +418,7 @@
       m.home = (m.home + 1) % labels.size();
       m.next_report = std::min(m.next_report, now + Seconds{1});
     };
-    if (!Up(home)) return next();
+    if (!Up(home) || m.mute || m.cut) return next();
     const HttpResponse response = runs.at(home)->desk.Handle(body, false);
     if (m.deaf) return next();
     if (response.status == 200) {
@@ -381,6 +427,7 @@
       reply.token = {answer.at("crest").get<std::uint64_t>()};
       reply.commands = wire::CommandsFromJson(answer.at("calls"));
       if (m.worker.Take(reply)) m.renewed = sent;
+      Check();
       return;
     }
     if (response.status == 421) {
@@ -394,18 +441,6 @@
     }
     next();
   }
-
-  void Check() {
-    std::map<TaskId, int> live;
-    for (const Machine& m : machines) {
-      if (m.gone) continue;
-      for (const auto& [job, tasks] : jobs)
-        for (std::uint32_t i = 0; i < tasks; ++i)
-          if (m.worker.Has({{job}, i}) && ++live[{{job}, i}] > 1) broken_rules.insert("ran_twice");
-    }
-    for (const auto& [job, at] : told)
-      if (now - at > kMeetingCancel && Live(job) > 0) broken_rules.insert("ran_cancelled");
-  }
 };
 
 inline std::vector<std::string> Others(const MeetingWorld& world, const std::string& label) {
@@ -424,7 +459,7 @@
 
 inline Scheduler::Options MeetingOptions() {
   Scheduler::Options o;
-  o.teams = {{"red", 0, 0, 0, 0}};
+  o.teams = {{"red", 0, 0, 0, 0}, {"blue", 0, kMeetingLimit, 0, 0}};
   o.headroom = 0;
   o.report = kMeetingReport;
   o.lease = kMeetingLease;
@@ -440,7 +475,13 @@
     : label(std::move(name)),
       door(world.store, world.now),
       membership(door, label, nonce, kMeetingLeaderLease),
-      core(MeetingOptions(), {}),
+      core(
+          [&world] {
+            Scheduler::Options o = MeetingOptions();
+            o.most_page_bytes = world.page_bytes;
+            return o;
+          }(),
+          {}),
       api(door, MeetingOptions().teams, {"a", "b"}, Seconds{0}, {},
           {[] { return MeetingTypes(); }, [this](const JobId& id) { return core.Counts(id); },
            [&world] { return world.wall; }, [](Seconds) {}, [&world] { return world.now; },
@@ -563,7 +604,7 @@
   const auto send = [&](magpie::Push push) {
     cover.Screen(push);
     MeetingWorld::Machine* m = world_.Find(push.machine);
-    if (m == nullptr || m->gone || m->deaf) {
+    if (m == nullptr || !m->Hears()) {
       core.OnPushEnd(push, PushEnd::kUnknown, std::nullopt, world_.now);
       return;
     }
@@ -573,6 +614,7 @@
       return;
     }
     m->worker.Take(push);
+    world_.Check();
     core.OnPushEnd(push, PushEnd::kAnswered, m->worker.Snapshot(), world_.now);
   };
   core.AllowStarts(cover.Covers());
@@ -593,18 +635,23 @@
     if (call->kind == CloudCall::Kind::kList) {
       std::vector<ListedMachine> listed;
       for (const auto& m : world_.machines)
-        if (!m.gone)
+        if (!m.gone || m.died)
           listed.push_back({m.worker.id(),
                             "127.0.0.1:1",
                             "small",
-                            "a",
+                            m.worker.zone(),
                             false,
-                            ListedMachine::Mood::kRunning,
+                            m.died && world_.now - *m.died > Seconds{30}
+                                ? ListedMachine::Mood::kFailed
+                                : ListedMachine::Mood::kRunning,
                             {100}});
       core.OnList(listed, world_.now);
     } else if (call->kind == CloudCall::Kind::kRelease) {
       for (const MachineId& id : call->release)
-        if (auto* m = world_.Find(id)) m->gone = true;
+        if (auto* m = world_.Find(id)) {
+          m->gone = true;
+          m->died.reset();
+        }
       core.OnReleased(*call, world_.now);
     } else {
       core.OnRentRefused(*call, world_.now);
