--- a/tests/meeting_test.cc
+++ b/tests/meeting_test.cc
@@ -97,7 +97,7 @@
 
   w.Pass(3);
   for (const char* job : {"j-1", "j-2", "j-3", "j-4"})
-    w.Submit(job, static_cast<std::uint32_t>(draw.Between(1, 2)), "n1");
+    w.Submit(job, static_cast<std::uint32_t>(draw.Between(2, 3)), "n1");
   for (const char* job : {"j-5", "j-6"}) w.Submit(job, 3, "n1");
   w.Pass(8);
   const std::string leader = w.Leader();
