Leases are kept from the first second of a cut, where a worker reaches us

A controller whose leader left its relayed reports unanswered sent the workers on until it had found the state service out of reach, or for one and a half of the leader's leases; one that lost the state service while nobody led answered 503 for the whole cut; and workers with an earlier leader's token were sent to a leader that was out of reach from here.

Now a relayed report that runs out of time (HttpAnswer::timed_out: neither an answer nor a refusal) keeps the lease at once, a refusal as before only later, since the leader may have ended. When leases are kept touches no rule: a kept lease starts nothing and binds nothing (design.md, Silence).

--- a/src/app/redirects.h
+++ b/src/app/redirects.h
@@ -45,33 +45,45 @@
   explicit LeaderReach(Seconds leader_lease) : patience_(1.5 * leader_lease) {}
 
   bool MayTry(Instant now) const { return now >= after_; }
-  void Failed(Instant now) {
+  // `timed_out`: it left us waiting, as a cut does and a process that ended does not.
+  void Failed(Instant now, bool timed_out) {
     constexpr Seconds kPause{2};
     after_ = now + kPause;
     if (!failing_) failing_ = now;
+    timed_out_ |= timed_out;
+  }
+  // The latest tries got no answer in time: workers sent to the leader from here may wait in
+  // vain as well.
+  bool TimesOut() const { return failing_ && timed_out_; }
+  void Answered() {
+    failing_.reset();
+    timed_out_ = false;
   }
-  void Answered() { failing_.reset(); }
   // The leader answers, but may renew no lease: it isn't asked with each report.
   void Declined(Instant now) {
     constexpr Seconds kPause{2};
-    failing_.reset();
+    Answered();
     after_ = now + kPause;
   }
   // Another controller leads.
   void Forget() {
-    failing_.reset();
+    Answered();
     after_ = {};
   }
-  // At once when we are cut off from the state service too; after a while when
-  // the leader is known to live, cut off from both of us. Not for a worker that
-  // has seen a later leader than we have.
+  // At once when the leader leaves us waiting, or when we are cut off from the state service
+  // too: a worker sent on in the first seconds of a cut tries one controller out of its reach
+  // after the other, until its lease is over. After a while when the leader refuses us, since
+  // it may have ended and another may lead in a moment. Not for a worker that has seen a later
+  // leader than we have.
   bool KeepsLease(Token workers, Stamp epoch, bool cut_off, Instant now) const {
-    return EpochOf(workers) <= epoch && failing_ && (cut_off || now - *failing_ > patience_);
+    return EpochOf(workers) <= epoch && failing_ &&
+           (cut_off || timed_out_ || now - *failing_ > patience_);
   }
 
  private:
   Seconds patience_;
   std::optional<Instant> failing_;  // since when
+  bool timed_out_ = false;          // some try since then
   Instant after_;
 };
 
--- a/src/app/report_desk.cc
+++ b/src/app/report_desk.cc
@@ -67,9 +67,15 @@
     std::lock_guard lock(mutex_);
     const Around around = hooks_.around();
     if (!core_.leading()) leader = around.leader;
+    // Nobody led when we lost the state service: whoever leads by now, the worker has not
+    // reached it, and nobody else can tell it where to go.
+    if (leader.empty() && around.cut_off && EpochOf(report.token) <= around.epoch)
+      if (const auto kept = cover_.Keep(report))
+        return {200, wire::ReplyToJson(kept->token, kept->commands).dump()};
     // It has talked to the present leader and now comes here, or we sent it
-    // there and it is back: it can't reach the leader, but we may.
-    lost_leader = EpochOf(report.token) == around.epoch;
+    // there and it is back: it can't reach the leader, but we may. A leader that we can't
+    // reach, or that we know of from before we lost the state service, is one to send nobody to.
+    lost_leader = EpochOf(report.token) == around.epoch || around.cut_off || reach_.TimesOut();
     if (!lost_leader && !leader.empty())
       lost_leader = redirects_.CameBack(report.machine, hooks_.now());
   }
@@ -100,7 +106,7 @@
     } else if (answer.answered) {
       reach_.Answered();
     } else {
-      if (try_it) reach_.Failed(now);
+      if (try_it) reach_.Failed(now, answer.timed_out);
       const Around around = hooks_.around();
       if (reach_.KeepsLease(report.token, around.epoch, around.cut_off, now))
         if (const auto kept = cover_.Keep(report))
--- a/src/net/blocking_stream.h
+++ b/src/net/blocking_stream.h
@@ -50,6 +50,8 @@
   bool has_more() const { return from_ < to_; }
   // Whether a message did not come whole: there is nothing to answer.
   bool broken() const { return broken_; }
+  // Whether the other side let a wait of ours run out.
+  bool timed_out() const { return timed_out_; }
   // Sends what was written since the last time.
   bool Flush() {
     std::size_t sent = 0;
@@ -58,7 +60,10 @@
           send(socket_, out_.data() + sent, out_.size() - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
       if (n < 0 && errno == EINTR) continue;
       if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
-        if (!WaitWritable()) return false;
+        if (!WaitWritable()) {
+          timed_out_ = true;
+          return false;
+        }
         continue;
       }
       if (n <= 0) return false;
@@ -124,7 +129,10 @@
     for (;;) {
       const ssize_t n = recv(socket_, buffer_.data(), buffer_.size(), 0);
       if (n < 0 && errno == EINTR) continue;
-      if (n <= 0) return false;
+      if (n <= 0) {
+        timed_out_ = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+        return false;
+      }
       from_ = 0;
       to_ = static_cast<std::size_t>(n);
       read_ += to_;
@@ -140,6 +148,7 @@
   std::size_t read_ = 0;  // of the present message
   std::size_t reserved_ = 0;
   bool broken_ = false;
+  bool timed_out_ = false;
   std::optional<std::chrono::steady_clock::time_point> begun_;
   std::string out_;
 };
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -87,7 +87,7 @@
 
 HttpClient::~HttpClient() = default;
 
-std::unique_ptr<HttpClient::Connection> HttpClient::Connect() const {
+std::unique_ptr<HttpClient::Connection> HttpClient::Connect(bool& timed_out) const {
   sockaddr_in to{};
   to.sin_family = AF_INET;
   to.sin_port = htons(static_cast<std::uint16_t>(address_.port));
@@ -101,6 +101,7 @@
     int n = 0;
     do n = poll(&p, 1, static_cast<int>(connect_timeout_.v * 1000));
     while (n < 0 && errno == EINTR);
+    timed_out = n == 0;
     if (n <= 0 || (p.revents & (POLLERR | POLLHUP)) != 0) return nullptr;
   }
   if (fcntl(socket, F_SETFL, O_RDWR) != 0) return nullptr;
@@ -110,7 +111,7 @@
   return connection;
 }
 
-std::unique_ptr<HttpClient::Connection> HttpClient::Take() {
+std::unique_ptr<HttpClient::Connection> HttpClient::Take(bool& timed_out) {
   for (;;) {
     std::unique_ptr<Connection> connection;
     {
@@ -121,7 +122,7 @@
     }
     if (connection->Alive()) return connection;
   }
-  return Connect();
+  return Connect(timed_out);
 }
 
 void HttpClient::Give(std::unique_ptr<Connection> connection) {
@@ -133,7 +134,7 @@
 HttpAnswer HttpClient::Call(const char* method, const std::string& path, const std::string* body,
                             Seconds timeout) {
   HttpAnswer answer;
-  auto connection = Take();
+  auto connection = Take(answer.timed_out);
   if (!connection) return answer;
   answer.sent = true;
   connection->SetTimeout(timeout);
@@ -147,7 +148,10 @@
   if (kept_ == 0) request.set_header("Connection", "close");
   httplib::Response response;
   connection->stream.NextMessage();
-  if (!exchange_->Run(connection->stream, request, response)) return answer;
+  if (!exchange_->Run(connection->stream, request, response)) {
+    answer.timed_out = connection->stream.timed_out();
+    return answer;
+  }
   answer.answered = true;
   answer.status = response.status;
   answer.body = std::move(response.body);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -23,6 +23,9 @@
   bool answered = false;
   int status = 0;
   std::string body;
+  // Neither an answer nor a refusal or a close came in time, as over a cut; a process that
+  // ended refuses or closes at once.
+  bool timed_out = false;
 };
 
 class HttpClient {
@@ -41,8 +44,9 @@
   class Connection;
   HttpAnswer Call(const char* method, const std::string& path, const std::string* body,
                   Seconds timeout);
-  std::unique_ptr<Connection> Take();
-  std::unique_ptr<Connection> Connect() const;
+  // Both tell whether the connection attempt ran out of time.
+  std::unique_ptr<Connection> Take(bool& timed_out);
+  std::unique_ptr<Connection> Connect(bool& timed_out) const;
   void Give(std::unique_ptr<Connection> connection);
 
   Address address_;
--- a/tests/codec_test.cc
+++ b/tests/codec_test.cc
@@ -246,7 +246,39 @@
   const int port = gone.port();
   gone.Shutdown();
   HttpClient client({"127.0.0.1", port}, {1}, {1}, 1);
-  EXPECT_FALSE(client.Post("/do", "{}").sent);
+  const HttpAnswer refused = client.Post("/do", "{}");
+  EXPECT_FALSE(refused.sent);
+  EXPECT_FALSE(refused.timed_out) << "nobody is there, and that was said at once";
+}
+
+// A lease is kept without the leader when it is silent, as over a cut, not when it ended.
+TEST(HttpClient, TellsSilenceFromAClosedConnection) {
+  const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in addr{};
+  addr.sin_family = AF_INET;
+  addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof addr;
+  ASSERT_EQ(bind(listener, reinterpret_cast<sockaddr*>(&addr), size), 0);
+  ASSERT_EQ(listen(listener, 4), 0);
+  getsockname(listener, reinterpret_cast<sockaddr*>(&addr), &size);
+  HttpClient client({"127.0.0.1", ntohs(addr.sin_port)}, Seconds{1}, Seconds{0.05}, 2);
+  const HttpAnswer silent = client.Post("/x", "{}");
+  EXPECT_TRUE(silent.sent);
+  EXPECT_FALSE(silent.answered);
+  EXPECT_TRUE(silent.timed_out);
+  std::thread peer([&] {
+    close(accept(listener, nullptr, nullptr));  // the one that timed out
+    const int socket = accept(listener, nullptr, nullptr);
+    char byte = 0;
+    recv(socket, &byte, 1, 0);
+    close(socket);
+  });
+  HttpClient patient({"127.0.0.1", ntohs(addr.sin_port)}, Seconds{5}, Seconds{5}, 2);
+  const HttpAnswer closed = patient.Post("/x", "{}");
+  peer.join();
+  EXPECT_FALSE(closed.answered);
+  EXPECT_FALSE(closed.timed_out);
+  close(listener);
 }
 
 }  // namespace
--- a/tests/cover_test.cc
+++ b/tests/cover_test.cc
@@ -283,6 +283,65 @@
   EXPECT_FALSE(keeper.cover.Keep(report));
 }
 
+// Found on a standard day: in the first seconds of a cut the controller in the zone had not yet
+// seen that the state service was out of reach, and sent workers on, who then tried those out
+// of their reach one after the other until their leases were over.
+TEST_F(CoverStory, ALeaseIsKeptFromTheFirstSecondOfACut) {
+  Begin();
+  Process& keeper = *w.runs.at(others[0]);
+  const magpie::Report now_known = w.machines.front().worker.Snapshot();
+  const Stamp epoch = EpochOf(now_known.token);
+  const HttpAnswer refused{};
+  const HttpAnswer closed{true, false, 0, {}};
+  const HttpAnswer no_connection{false, false, 0, {}, true};
+  const HttpAnswer no_answer{true, false, 0, {}, true};
+  const HttpAnswer deposed{true, true, 421, {}};
+  struct Row {
+    const char* what;
+    std::string led_by;
+    bool cut_off;
+    std::uint64_t workers;  // the epoch of its token
+    HttpAnswer leaders;
+    int status;
+  };
+  const std::vector<Row> rows{
+      {"no connection to the leader comes about", leader, false, epoch.v, no_connection, 200},
+      {"a kept connection is silent", leader, false, epoch.v, no_answer, 200},
+      {"the leader's process ended", leader, false, epoch.v, refused, 421},
+      {"the same, over a kept connection", leader, false, epoch.v, closed, 421},
+      {"refused, and the state service is silent too", leader, true, epoch.v, refused, 200},
+      {"an earlier leader's worker", leader, false, epoch.v - 1, no_connection, 421},
+      {"the same once cut off", leader, true, epoch.v - 1, no_connection, 200},
+      {"it answers, though we are cut off", leader, true, epoch.v - 1, deposed, 421},
+      {"a later leader's worker", leader, true, epoch.v + 1, no_answer, 421},
+      {"nobody led when we were cut off", "", true, epoch.v, refused, 200},
+      {"nobody leads", "", false, epoch.v, refused, 503},
+      {"nobody that we know, and a later leader's worker", "", true, epoch.v + 1, refused, 503},
+  };
+  for (const Row& row : rows) {
+    SCOPED_TRACE(row.what);
+    ReportDesk desk(
+        {kMeetingLease, kMeetingLeaderLease, {leader}}, keeper.mutex, keeper.core, keeper.fitness,
+        keeper.cover,
+        {[this] { return w.now; },
+         [&] {
+           return ReportDesk::Around{row.led_by, epoch, row.cut_off};
+         },
+         [] {}, [] {}, [&](const std::string&, const std::string&) { return row.leaders; }});
+    magpie::Report report = now_known;
+    report.token = FirstToken({row.workers});
+    const HttpResponse response = desk.Handle(wire::ReportToJson(report).dump(), false);
+    EXPECT_EQ(response.status, row.status);
+    if (response.status != 200) continue;
+    const wire::Json answer = wire::Json::parse(response.body);
+    EXPECT_EQ(answer.at("crest").get<std::uint64_t>(), report.token.v + 1);
+    EXPECT_TRUE(answer.at("calls").empty()) << "nothing is started by it";
+    // Whoever comes next is not sent to where nobody answers.
+    report.token = FirstToken({epoch.v - 1});
+    EXPECT_EQ(desk.Handle(wire::ReportToJson(report).dump(), false).status, 200);
+  }
+}
+
 // Long for all, with all in touch: nothing is lost, however long it takes.
 TEST_F(CoverStory, InAnOutageWithAllInTouchNoLeaseIsLost) {
   Begin();
--- a/tests/growth_test.cc
+++ b/tests/growth_test.cc
@@ -248,7 +248,7 @@
   LeaderReach reach(Seconds{4});
   const Stamp epoch{7};
   EXPECT_FALSE(reach.KeepsLease(FirstToken(epoch), epoch, true, Instant{100})) << "not tried yet";
-  reach.Failed(Instant{100});
+  reach.Failed(Instant{100}, false);
   EXPECT_FALSE(reach.MayTry(Instant{101}));
   EXPECT_TRUE(reach.KeepsLease(FirstToken(epoch), epoch, true, Instant{100}));
   EXPECT_FALSE(reach.KeepsLease(FirstToken(epoch), epoch, false, Instant{105}))
@@ -259,6 +259,13 @@
   EXPECT_TRUE(reach.MayTry(Instant{103}));
   reach.Answered();
   EXPECT_FALSE(reach.KeepsLease(FirstToken(epoch), epoch, true, Instant{107}));
+  reach.Failed(Instant{108}, true);
+  EXPECT_TRUE(reach.KeepsLease(FirstToken(epoch), epoch, false, Instant{108}))
+      << "it left us waiting";
+  reach.Declined(Instant{110});
+  reach.Failed(Instant{112}, false);
+  EXPECT_FALSE(reach.KeepsLease(FirstToken(epoch), epoch, false, Instant{112}))
+      << "it refused, and may have ended";
 }
 
 // Found at the start of a day: a flood of submissions made the state service
--- a/tests/meeting_world.h
+++ b/tests/meeting_world.h
@@ -520,9 +520,10 @@
             },
             [] {}, [] {},
             [this](const std::string& to, const std::string& body) -> HttpAnswer {
-              if (!world_.Reaches(label, to) || !world_.Up(to)) return {};
+              if (!world_.Up(to)) return {false, false, 0, {}, world_.Still(to)};
+              if (!world_.Reaches(label, to)) return {false, false, 0, {}, true};
               const HttpResponse r = world_.runs.at(to)->desk.Handle(body, true);
-              if (!world_.Reaches(to, label)) return {true, false, 0, {}};
+              if (!world_.Reaches(to, label)) return {true, false, 0, {}, true};
               return {true, true, r.status, r.body};
             }}),
       world_(world),
