A result told with a token of before our term is kept

It was ignored until the worker said it anew; if its machine was lost, or began a new session before, the task ran once more, and until then its room stayed taken.

Now the task takes no room from then on and is not begun again. It stays bound, in memory and in the records, so that this leader and the next count it in the team's limit and in its zone until the attempt is over for certain: said anew with a token of our term, absent for sure, a later session that is conclusive, or the machine gone. Then its end is written.

LimitStory.AResultToldBeforeOurTermIsTakenInAtOnce fails without the change (tasks begun again after a new session, after all was lost and after the machine's return) and passes with it; AResultToldBeforeOurTermGivesNoQuotaAway as before.

--- a/src/core/dialogue.cc
+++ b/src/core/dialogue.cc
@@ -173,9 +173,9 @@
     // Absent for sure. A cancelled task or one told to stop is over; one of an
     // earlier session was killed; any other has not begun and is sent again, if it may be:
     // that is asked one by one, since each that is unbound makes way for the others.
-    if (held.job->cancelled || t.want_stop || new_session || m.notice_until ||
+    if (held.job->cancelled || t.want_stop || t.result_told || new_session || m.notice_until ||
         !MayStart(*held.job)) {
-      Unbind(*held.job, held.index, now);
+      AttemptOver(*held.job, held.index, now);
     } else if (t.running) {  // its machine was started anew: it begins once more
       held.task().running = held.task().timed = false;
       NoLongerExpected(*held.job, held.index);
@@ -202,6 +202,7 @@
       entry.cause != EndCause::kUnknown && entry.cause != EndCause::kBusy)
     NoteImage(m, *job);
   if (entry.mood != TaskMood::kEnded) {
+    if (t.result_told) return;  // begun once more; it ends as soon as it has its image
     const bool running = entry.mood == TaskMood::kRunning;
     const bool begun = running && !t.running;
     if (begun) t.since = now;
@@ -215,9 +216,14 @@
   if (t.state == TaskState::kEnding) return;
   // What ended before our term may have been forgotten, or lost with its session, and begun
   // once more as the same attempt, and this may be a late copy: it ends nothing. A result stays
-  // a result, but its quota may not be given away while the attempt runs again. The worker
-  // says it anew within moments, since our token is news to it.
-  if (m.seen < base_) return;
+  // a result, but its quota may not be given away while the attempt runs again: it is kept
+  // until the worker says the result anew, within moments as a rule, since our token is news to
+  // it, or until the attempt is over in another way.
+  if (m.seen < base_) {
+    if (entry.cause == EndCause::kDone && t.state == TaskState::kBound && !job->cancelled)
+      ResultTold(*job, entry.task.index);
+    return;
+  }
   if (entry.cause == EndCause::kDone) {
     Judge(blame_.Ended(job->serial, m.id));
     // What began under an earlier leader has run for longer than we know.
@@ -243,7 +249,7 @@
   } else if (entry.cause == EndCause::kNoRoom) {
     job->not_before = now + Seconds{0.5};
   }
-  Unbind(*job, entry.task.index, now);
+  AttemptOver(*job, entry.task.index, now);
 }
 
 // What the evidence says: faulty machines get no more work.
@@ -288,7 +294,7 @@
     if (full()) break;
     if (held.job->cancelled) continue;
     const Task& t = held.task();
-    if (t.state != TaskState::kBound || t.seen || t.want_stop) continue;
+    if (t.state != TaskState::kBound || t.seen || t.want_stop || t.result_told) continue;
     if (MayStart(*held.job))
       commands.push_back({CommandKind::kRun, held.id(), t.attempt, {}});
     else
--- a/src/core/machine_care.cc
+++ b/src/core/machine_care.cc
@@ -27,7 +27,10 @@
   if (m == nullptr) return;
   if (m->recorded) --unsquared_;
   const std::vector<Held> tasks = m->tasks;
-  for (const Held& held : tasks) Unbind(*held.job, held.index, now);
+  for (const Held& held : tasks) {
+    AttemptOver(*held.job, held.index, now);
+    if (held.task().machine != nullptr) Unbind(*held.job, held.index, now);  // its end is known
+  }
   roster_.Leave(*m);
   to_return_.erase(id);
   by_id_.erase(id);
@@ -353,7 +356,7 @@
   for (const Held& held : m.tasks) {
     const Job* job = held.job;
     const Task& t = held.task();
-    if (t.want_stop || t.state != TaskState::kBound) continue;
+    if (t.want_stop || t.result_told || t.state != TaskState::kBound) continue;
     const bool ends_in_time =
         job->spec.kind == JobKind::kArray && t.running && EndOf(*job, t, m, now) - now < left;
     if (ends_in_time) continue;
--- a/src/core/planning.cc
+++ b/src/core/planning.cc
@@ -430,7 +430,7 @@
     for (const Held& held : m->tasks) {
       const Job& job = *held.job;
       const Task& t = held.task();
-      if (t.state == TaskState::kEnding) continue;  // its room is free already
+      if (!t.room) continue;  // it is free already
       if (job.spec.kind == JobKind::kArray) {
         const Instant ends = EndOf(job, t, *m, now);
         slot.lane.AddEnd(ends, job.spec.each);
@@ -482,7 +482,8 @@
       const Job& other = *held.job;
       const Task& t = held.task();
       if (other.spec.kind != JobKind::kArray || other.spec.priority >= job.spec.priority ||
-          RankOf(other) <= RankOf(job) || t.state != TaskState::kBound || t.want_stop)
+          RankOf(other) <= RankOf(job) || t.state != TaskState::kBound || t.want_stop ||
+          t.result_told)
         continue;
       const bool saves = other.spec.checkpoint.v > 0;
       const double lost = !t.running ? 0 : saves ? other.spec.save.v : (now - t.since).v;
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -343,6 +343,7 @@
   t.seen = false;
   t.running = false;
   t.want_stop = false;
+  t.result_told = false;
   t.overran = false;
   t.timed = true;
   t.since = now;
@@ -364,7 +365,7 @@
     if (m.tasks.empty()) m.used = {};
     m.idle_since = now;
   }
-  t.seen = t.running = t.want_stop = false;
+  t.seen = t.running = t.want_stop = t.result_told = false;
   if (t.state == TaskState::kEnding || t.state == TaskState::kDone) {
     t.state = TaskState::kDone;
     return;
@@ -387,6 +388,7 @@
     job.pending.erase(std::remove(job.pending.begin(), job.pending.end(), index),
                       job.pending.end());
   NoLongerExpected(job, index);
+  t.result_told = false;
   t.state = TaskState::kEnding;
   if (++job.done == job.spec.tasks) DropClaim(job);
   FreeRoom(job, t);
@@ -394,6 +396,26 @@
   MarkDirty(job, index, now);
 }
 
+// The attempt has a result, but may have been begun once more since it was told: it takes no
+// room any more and is not begun again. It stays bound, in the records too, so that whoever
+// leads counts it in its team's limit and in its zone until it is over for certain.
+void Scheduler::ResultTold(Job& job, std::uint32_t index) {
+  Task& t = job.tasks[index];
+  t.result_told = true;
+  t.running = t.timed = false;
+  NoLongerExpected(job, index);
+  FreeRoom(job, t);
+  wants_tick_ = true;
+}
+
+// The bound attempt is not on its machine and can't start there any more.
+void Scheduler::AttemptOver(Job& job, std::uint32_t index, Instant now) {
+  if (job.tasks[index].result_told && !job.cancelled)
+    SetDone(job, index, now);
+  else
+    Unbind(job, index, now);
+}
+
 bool Scheduler::Final(const Job& job) const {
   return job.cancelled ? job.bound == 0 : job.done == job.spec.tasks;
 }
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -248,7 +248,9 @@
     bool dirty = false;    // differs from the durable record
     bool planned = false;  // in the plan of a write that is being made
     bool room = false;     // takes room on its machine
-    Pages::Id page = 0;    // that has its durable record
+    // A result was told of it that may be from before our term: see AbsorbTask.
+    bool result_told = false;
+    Pages::Id page = 0;  // that has its durable record
     Seconds grace;
     Attempt attempt;
     Machine* machine = nullptr;
@@ -379,6 +381,8 @@
   Seconds ExpectOn(const Job& job, const Machine& m) const;
   void MarkDirty(Job& job, std::uint32_t index, Instant now);
   void FreeRoom(Job& job, Task& t);
+  void ResultTold(Job& job, std::uint32_t index);
+  void AttemptOver(Job& job, std::uint32_t index, Instant now);
   void Judge(const Blame::Verdict& verdict);
   void WantPush(Machine& m);
   std::uint32_t ImageNumber(const std::string& image);
--- a/tests/limit_test.cc
+++ b/tests/limit_test.cc
@@ -83,6 +83,15 @@
     }
   }
 
+  // Asks the machine, if the leader wants to.
+  void Probe(Node& node, FakeWorker& worker) {
+    while (const auto probe = node.core.NextProbe(now)) {
+      ASSERT_EQ(probe->machine, worker.id()) << "the others are heard";
+      worker.Take(*probe);
+      node.core.OnPushEnd(*probe, PushEnd::kAnswered, worker.Snapshot(), now);
+    }
+  }
+
   Node* before = nullptr;
   Node* after = nullptr;
   FakeWorker* m1 = nullptr;
@@ -204,6 +213,65 @@
   EXPECT_EQ(BlueUse(), kLimit);
 }
 
+// A result told before our term is kept all the same: the task takes no room and is not begun
+// again, whatever happens to its machine. What it holds of the limit is given away only once the
+// attempt is over for certain.
+TEST_F(LimitStory, AResultToldBeforeOurTermIsTakenInAtOnce) {
+  const auto said = [this] { Report(*after, *m1); };
+  const std::map<std::string, std::function<void()>> ways{
+      {"it is said anew", said},
+      {"a new session", [&] { m1->LeaseEnds(), said(); }},
+      {"its tasks are lost", [&] { m1->Restart(false), said(); }},
+      {"all is lost", [&] { m1->Restart(true), said(); }},
+      {"its machine is returned",
+       [this] {
+         after->core.OnReleased({CloudCall::Kind::kRelease, {}, {m1->id()}}, now);
+       }},
+  };
+  for (const auto& [name, way] : ways) {
+    SCOPED_TRACE(name);
+    store = FakeStore{};
+    nodes_.clear();
+    workers_.clear();
+    Begin(3);
+    for (std::uint32_t i = 0; i < 3; ++i) m1->End({{"j-1"}, i}, EndCause::kDone);
+    NextLeads();
+    after->core.OnReport(m1->Snapshot(), now);  // the answer is lost
+    JobSpec red = MakeJob("j-4");
+    red.each = {15, 0, 4};  // fits on m-1 alone, once the three take no room there
+    Run(*after, red);
+    Run(*after, Blue("j-2", 3, Priority::kProduction));
+    const std::vector<FakeWorker*> free{&AddWorker("m-2", "small", "b"),
+                                        &AddWorker("m-3", "small", "b")};
+    const auto round = [&] {
+      after->core.Tick(now, wall);
+      while (after->WriteOnce(now)) {
+      }
+      for (FakeWorker* w : free) Report(*after, *w);
+      EXPECT_LE(BlueUse(), kLimit);
+      Pass(1);
+    };
+    for (int i = 0; i < 3; ++i) round();
+    EXPECT_EQ(after->core.GetStatus().pending, 3U) << "j-4 has its place, j-2 waits";
+    EXPECT_EQ(BlueUse(), 0) << "it might have been begun once more";
+    way();
+    for (int i = 0; i < 6; ++i) {
+      if (name != "its machine is returned") {
+        Report(*after, *m1);
+        Probe(*after, *m1);
+      }
+      round();
+    }
+    EXPECT_EQ(after->Mood("j-1"), "done");
+    EXPECT_EQ(BlueUse(), kLimit) << "all of j-2";
+    for (const FakeWorker& w : workers_)
+      for (std::uint32_t i = 0; i < 3; ++i) {
+        const auto began = w.starts.find({{"j-1"}, i});
+        EXPECT_EQ(began == w.starts.end() ? 0 : began->second, &w == m1 ? 1 : 0);
+      }
+  }
+}
+
 // A limit that was lowered while nobody led starts nothing above it either.
 TEST_F(LimitStory, ALoweredLimitStartsNothingAboveIt) {
   Begin(3);
