--- /dev/null
+++ b/src/scale/hollow_worker.h
@@ -0,0 +1,88 @@
+// A worker without tasks' work: the protocol's state machine of src/agent, whose effects
+// only take time here. Images are fetched and processes run until a deadline; nothing is
+// stored, so a task that is started again runs its whole time again.
+//
+// Pure: the caller tells the time and carries the messages. Not safe for threads.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "agent/worker.h"
+#include "core/types.h"
+#include "scale/job_book.h"
+
+namespace magpie::scale {
+
+// Told when a task takes its place on the machine and when it has left it for certain.
+class TaskObserver {
+ public:
+  virtual ~TaskObserver() = default;
+  virtual void OnTaskBegan(const MachineId& machine, const TaskId& task, Attempt attempt,
+                           Instant now) = 0;
+  virtual void OnTaskLeft(const MachineId& machine, const TaskId& task, Attempt attempt,
+                          bool completed, Instant now) = 0;
+};
+
+class HollowWorker {
+ public:
+  struct Options {
+    agent::Worker::Options agent;
+    double fetch_gb_per_s = 1;
+    std::uint64_t seed = 0;
+  };
+
+  // `jobs` and `observer` must outlive the worker.
+  HollowWorker(Options options, const JobBook& jobs, TaskObserver& observer, Instant now);
+
+  // The report that is due, if none is on its way.
+  std::optional<agent::Worker::Outgoing> NextReport(Instant now);
+  void OnAnswer(const agent::Answer& answer, Instant now);
+  agent::DirectAnswer OnDirect(std::optional<Token> token, std::optional<std::uint64_t> session,
+                               const std::vector<Command>& commands, Instant now);
+  Report Inspect(Instant now);
+  void OnNotice(std::optional<Seconds> left) { core_.OnNotice(left); }
+  // Carries out what is due: ends of fetches and processes, the lease.
+  void Advance(Instant now);
+  // When NextReport or Advance may have something to do, at the latest.
+  Instant Wake() const;
+  // The machine is lost: all that is on it is gone.
+  void Perish(Instant now);
+
+  std::size_t running() const { return processes_.size(); }
+  const MachineId& machine() const { return machine_; }
+
+ private:
+  using ProcessKey = std::pair<TaskId, Attempt>;
+  struct Process {
+    Instant ends;
+    agent::Outcome outcome = agent::Outcome::kDone;
+  };
+
+  void CarryOut(Instant now);
+  void CarryOut(const agent::Effect& effect, Instant now);
+  void Describe(const TaskId& task);
+  void Fetch(const agent::Effect& effect, Instant now);
+  void StartProcess(const ProcessKey& key, Instant now);
+  void SaveProcess(const ProcessKey& key, Instant now);
+  void EndProcess(const ProcessKey& key, agent::Outcome outcome, Instant now);
+  void EndDueFetches(Instant now);
+  void EndDueProcesses(Instant now);
+
+  MachineId machine_;
+  double fetch_gb_per_s_;
+  const JobBook& jobs_;
+  TaskObserver& observer_;
+  std::minstd_rand random_;
+  agent::Worker core_;
+  std::map<ProcessKey, Process> processes_;
+  std::map<std::string, Instant> fetches_;     // when each will be there
+  std::map<std::string, double> image_sizes_;  // of images asked for, in GB
+};
+
+}  // namespace magpie::scale
