--- a/src/core/dialogue.cc
+++ b/src/core/dialogue.cc
@@ -114,6 +114,17 @@
   return reply;
 }
 
+// An answered probe renews no lease. A worker that reaches no controller is heard by probes alone,
+// and all that is begun there dies with the lease, again and again.
+void Scheduler::NoteWhetherMute(Machine& m, bool from_push, Instant now) {
+  constexpr double kReportsMissed = 4;
+  constexpr double kPartOfLease = 0.5;
+  if (!from_push || !m.up) m.reported = now;
+  const Seconds most = std::max(kReportsMissed * options_.report, kPartOfLease * options_.lease);
+  const bool mute = now - m.reported > most;
+  if (std::exchange(m.mute, mute) != mute) Touch();
+}
+
 void Scheduler::Absorb(Machine& m, const Report& report, bool from_push, Instant now) {
   const bool new_session = m.session != 0 && report.session > m.session;
   m.addr = report.addr;
@@ -130,6 +141,7 @@
   if (!m.relayed) roster_.HeardDirectly(m.zone, now);
   m.suspected = false;
   m.failed_probes = 0;
+  NoteWhetherMute(m, from_push, now);
   if (!m.up) {
     if (std::exchange(m.recorded, false)) --unsquared_;
     m.up = true;
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -75,7 +75,7 @@
     const Seconds end = ready + shortage.run(type);
     for (const std::string& zone : type.zones) {
       if (spec.zone && *spec.zone != zone) continue;
-      if (shortage.zone && *shortage.zone != zone) continue;
+      if (!shortage.zone_ok(zone)) continue;
       for (const bool spot : {false, true}) {
         if (spot && !spec.spot) continue;
         const MachineKind kind{type.name, zone, spot};
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -23,10 +23,12 @@
 // Work that the machines there cannot take in time.
 struct Shortage {
   const JobSpec* spec = nullptr;
-  std::optional<std::string> zone;  // the only zone that would do
-  std::uint32_t tasks = 0;          // of the same size
-  Seconds target;                   // until the work should be done
-  bool needed = false;              // at any price: it has no other place
+  // Whether a machine of the zone would do, given where the job's other tasks are: without it, one
+  // that is cheapest in a zone that is full for the job would be planned and never rented.
+  std::function<bool(const std::string& zone)> zone_ok;
+  std::uint32_t tasks = 0;  // of the same size
+  Seconds target;           // until the work should be done
+  bool needed = false;      // at any price: it has no other place
   std::function<Seconds(const MachineType&)> run;
 };
 
--- a/src/core/machine_care.cc
+++ b/src/core/machine_care.cc
@@ -268,7 +268,7 @@
 
 bool Scheduler::Ordinary(const Machine& m) const {
   return m.up && m.seen >= m.fence && !m.relayed && m.failed_probes == 0 && !m.cordoned &&
-         !m.draining && !m.notice_until && !m.push_again && m.contrary == 0;
+         !m.draining && !m.notice_until && !m.push_again && m.contrary == 0 && !m.mute;
 }
 
 // Looked at are those with something about them, and those unheard for longer
@@ -335,6 +335,8 @@
   }
   if ((m.cordoned || m.draining) && m.tasks.empty()) release = true;
   if (m.notice_until && m.tasks.empty()) release = true;
+  // Nothing is put on a mute machine. A spell may end; one that does not is paid for nothing.
+  if (m.mute && m.tasks.empty() && now - m.reported > lease_ended + kCutLonger) release = true;
   if (m.notice_until) HandleNotice(m, now);
   if (release) {
     Return(m);
--- a/src/core/planning.cc
+++ b/src/core/planning.cc
@@ -7,7 +7,7 @@
 namespace magpie {
 
 bool Scheduler::Usable(const Machine& m) const {
-  return !m.releasing && !m.cordoned && !m.draining && !m.notice_until;
+  return !m.releasing && !m.cordoned && !m.draining && !m.notice_until && !m.mute;
 }
 
 Resources Scheduler::Room(const Machine& m, const MachineType& type) const {
@@ -382,7 +382,7 @@
 Scheduler::Plan Scheduler::StartPlan(Instant now, const std::vector<Waiting>& waiting) {
   constexpr Seconds kFullEvery{1};
   Plan plan;
-  plan.use = team_use_;
+  plan.use = plan.use_soon = team_use_;
   plan.may_rent = renting_.empty() && list_seen_ && now >= fleet_next_;
   plan.full = plan.may_rent || now >= full_next_;
   if (plan.full) {
@@ -707,6 +707,7 @@
 // machines that finish them soonest, or plans machines for them. At most
 // `budget` tasks are looked at.
 void Scheduler::PlanJob(Plan& plan, const Waiting& planned, Instant now, int& budget) {
+  constexpr Seconds kFarAhead{60};
   Job& job = *planned.job;
   const Due& due = planned.due;
   ++jobs_planned_;
@@ -717,11 +718,13 @@
   const bool limited = planned.most != Blame::kAll;
   std::uint32_t left = planned.most;
   while (job.pending.size() > waiting && budget > 0 && left > 0 &&
-         WithinLimit(job, plan.use, job.spec.each)) {
+         WithinLimit(job, plan.use_soon, job.spec.each)) {
     --budget;
     --left;
     if (alike != nullptr && *alike > 0) --*alike;
     const auto pick = places.Pick();
+    // Beyond the quota that holds far ahead leave, nothing is held, rented or stopped for.
+    if (!WithinLimit(job, plan.use, job.spec.each) && (!pick || !pick->choice.now)) return;
     const bool in_time = pick && Slack(due.target, pick->choice, options_.weights).v >= 0;
     const bool at_once = pick && pick->choice.now;
     const bool late = !pick || Slack(due.rent_target, pick->choice, options_.weights).v < 0;
@@ -729,6 +732,7 @@
       if (PlanRental(plan, job, due.rent_target, now,
                      pick ? std::optional(pick->choice.wait + pick->choice.run) : std::nullopt)) {
         plan.use[job.spec.team] += job.spec.each;
+        plan.use_soon[job.spec.team] += job.spec.each;
         ++waiting;
         continue;
       }
@@ -745,6 +749,9 @@
     HoldIn(plan, pick->slot, pick->start, job.spec.each,
            service ? std::nullopt : std::optional(now + pick->choice.wait + pick->choice.run));
     plan.use[job.spec.team] += job.spec.each;
+    const bool boots = slot.machine == nullptr || !slot.machine->up;
+    if (at_once || boots || pick->choice.wait <= kFarAhead)
+      plan.use_soon[job.spec.team] += job.spec.each;
     if (at_once) {
       const std::uint32_t index = job.pending.front();
       job.pending.pop_front();
@@ -760,13 +767,14 @@
 bool Scheduler::PlanRental(Plan& plan, Job& job, Seconds target, Instant now,
                            std::optional<Seconds> otherwise) {
   constexpr double kLeastGain = 0.25;  // of boot or run time
-  std::optional<std::string> zone;
-  if (job.spec.together && !job.in_zone.empty()) zone = job.in_zone.begin()->first;
-  const Shortage shortage{
-      &job.spec, zone,       std::max(1U, plan.alike[job.shape]),
-      target,    !otherwise, [&](const MachineType& t) { return table_.Expect(job.spec, t.name); }};
+  const Shortage shortage{&job.spec,
+                          [&](const std::string& zone) { return ZoneOk(job, zone); },
+                          std::max(1U, plan.alike[job.shape]),
+                          target,
+                          !otherwise,
+                          [&](const MachineType& t) { return table_.Expect(job.spec, t.name); }};
   const auto offer = fleet_.Plan(shortage, plan.have, now);
-  if (!offer || !ZoneOk(job, offer->kind.zone)) return false;
+  if (!offer) return false;
   const Seconds run = table_.Expect(job.spec, offer->kind.type);
   const Seconds margin = std::max(kLeastGain * offer->type->boot, kLeastGain * run);
   if (otherwise && offer->ready + run + margin >= *otherwise) return false;
@@ -877,9 +885,10 @@
 // Orders a machine for replicas to come; tells how many of them it holds.
 std::uint32_t Scheduler::RentSpare(Plan& plan, const JobSpec& spec, std::uint32_t tasks,
                                    Instant now) {
-  const auto offer = fleet_.Plan({&spec, std::nullopt, tasks, Seconds{1e9}, false,
-                                  [](const MachineType&) { return Seconds{}; }},
-                                 plan.have, now);
+  const auto offer =
+      fleet_.Plan({&spec, [](const std::string&) { return true; }, tasks, Seconds{1e9}, false,
+                   [](const MachineType&) { return Seconds{}; }},
+                  plan.have, now);
   plan.unsettled = true;
   if (!offer) return 0;
   ++plan.orders[offer->kind];
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -315,6 +315,8 @@
     bool relayed = false;             // its reports come through another controller
     bool reached = false;             // a push got through since then
     bool suspected = false;           // it misses reports and does not answer
+    bool mute = false;                // it answers, but its reports reach nobody
+    Instant reported;                 // when its latest report came
     std::uint32_t failed_probes = 0;  // in a row, since it was last heard
     Instant failing_since;            // when the first of them failed
     std::uint64_t session = 0;
@@ -366,6 +368,7 @@
   void NoteOverrun(Job& job, std::uint32_t index, Instant now);
   bool Conclusive(const Machine& m, bool from_push) const;
   void Absorb(Machine& m, const Report& report, bool from_push, Instant now);
+  void NoteWhetherMute(Machine& m, bool from_push, Instant now);
   static bool Follows(const Machine& m, const Report& report);
   static bool BegunAnew(const Push& push, const Report& answer);
   void ForgetsAll(Machine& m, const Report& report);
@@ -454,6 +457,9 @@
     std::map<MachineKind, int> have;
     std::map<MachineKind, std::uint32_t> orders;
     std::map<std::string, Resources> use;  // of the teams, holds included
+    // The same but for holds that begin far ahead: what may begin now is measured by this, since
+    // else work waits for minutes while its team uses nothing.
+    std::map<std::string, Resources> use_soon;
     bool may_rent = false;
     // Another full plan may come out otherwise by time alone.
     bool unsettled = false;
