Six more meetings as rows; a cancellation over a slow state service ends in time

Rows for the lead that goes over and back until all end, tasks that end far apart, machines out of reach as the leader ends, quick boots while writes lag, more work than room over slow links, and odd requests. The story of a slow state service found one fault, no rule: with 1.4 s an answer a cancellation took 5.6 s, longer than its user waits, since its patience was looked at before each try only. It is looked at once more when the first mark is durable; the repeat has less left to do.

--- a/src/app/job_api.cc
+++ b/src/app/job_api.cc
@@ -232,6 +232,8 @@
       return result.end == StoreEnd::kOk;
     };
     if (!record.value(records::kStopping, false) && !mark(records::kStopping)) continue;
+    // Its user waits no longer, and repeats it: the rest is the repeat's, which has less to do.
+    if (hooks_.steady() >= until) break;
     // It must be durable before it is announced: a controller that ends after it has heard
     // of it, and is there again, then finds it in its first view.
     if (!hooks_.announce(id, stamp))
--- a/tests/meeting_stories_test.cc
+++ b/tests/meeting_stories_test.cc
@@ -290,6 +290,95 @@
   }
 }
 
+// The lead goes over and back, then all end within a second, and one returns before the others.
+void TheLeadGoesOverAndBackAndAllEnd(FaultWorld& w) {
+  for (int round = 0; round < 4; ++round) {
+    const std::string job = "j-2" + std::to_string(round);
+    ASSERT_TRUE(w.Submit(job, 2, w.Follower()));
+    for (int i = 0; i < 4; ++i) {
+      const std::string leader = w.Leader();
+      if (!leader.empty()) w.runs.at(leader)->membership.StepAside();
+      w.Run(round % 2);
+    }
+    for (const std::string& label : w.labels) w.End(label);
+    w.Run(round);
+    w.Start(w.labels[static_cast<std::size_t>(round) % 3]);
+    w.Run(round + 2);
+    for (const std::string& label : w.labels)
+      if (!w.runs.contains(label)) w.Start(label);
+    w.Run(6);
+    w.CancelAndAsk(job, w.Follower());
+  }
+}
+
+// The three tasks of a job end far apart: before, between and after two leaders.
+void TasksEndFarApartAcrossLeaders(FaultWorld& w) {
+  for (int round = 0; round < 3; ++round) {
+    const std::string job = "j-2" + std::to_string(round);
+    ASSERT_TRUE(w.Submit(job, 3, "n0"));
+    w.Run(6);
+    for (std::uint32_t i = 0; i < 3; ++i) {
+      const std::string leader = w.Leader();
+      if (round == 1) w.End(leader);
+      w.Complete({{job}, i});
+      w.Run(round);
+      if (round != 1) w.End(leader);
+      w.Run(7);
+      w.Start(leader);
+      w.AskEverywhere(job);
+      w.Run(12);
+    }
+    for (const std::string& label : w.labels) EXPECT_EQ(w.Poll(job, label), "done");
+  }
+}
+
+// The leader ends while machines with long tasks are cut off, and others hear nothing of the
+// next one: first for less than a lease, then for more.
+void ALeaderEndsWhileMachinesAreOutOfReach(FaultWorld& w) {
+  ASSERT_TRUE(w.Submit("j-10", 8, "n0"));
+  w.Run(6);
+  ASSERT_EQ(w.Live("j-10"), 8U);
+  for (const int spell : {8, 30}) {
+    const int lost = w.LeasesLost();
+    int number = 0;
+    for (auto& m : w.machines) (++number % 2 == 0 ? m.cut : m.deaf) = true;
+    const std::string leader = w.Leader();
+    w.End(leader);
+    w.Run(spell);
+    w.AllIsWell();
+    w.Run(6);
+    if (spell < kMeetingLease.v) {
+      EXPECT_EQ(w.LeasesLost(), lost);
+    }
+  }
+}
+
+// Machines are there within a second and get work at once, while each write lags, and the
+// leader ends before or after its bindings land.
+void QuickBootsWhileWritesLagAndTheLeaderEnds(FaultWorld& w) {
+  const auto lag = [&](int seconds) {
+    w.store.next_commit = Fault::kLandLater;
+    w.late_writes.push_back(w.now + Seconds{1.0 * seconds});
+  };
+  for (int round = 0; round < 8; ++round) {
+    const std::string job = "j-2" + std::to_string(round);
+    ASSERT_TRUE(w.Submit(job, 2, w.Follower()));
+    w.machines_in["a"] = w.machines_in["b"] = 2 + round % 3;
+    lag(3 + round);
+    w.Run(1);
+    lag(2 + round % 4);
+    w.Run(round % 4);
+    const std::string leader = w.Leader();
+    w.End(leader);
+    w.Run(1);
+    lag(5);
+    w.Run(8);
+    w.Start(leader);
+    w.Run(8);
+    w.CompleteAll(job);
+  }
+}
+
 // ------------------------------------------------------------------ machines out of reach
 
 // The team is at its limit, its jobs are cancelled while their machines are cut off or hang,
@@ -374,6 +463,74 @@
 
 // ------------------------------------------------------------------ load
 
+// Three times as much work as room, urgent and not, with reports and commands that take seconds.
+// Every job has its turn, or is cancelled in time.
+void MoreWorkThanRoomOverSlowLinks(FaultWorld& w) {
+  std::vector<std::string> open;
+  for (int i = 0; i < 24; ++i) {
+    const std::string job = "j-" + std::to_string(100 + i);
+    w.odd[job] = [i](JobSpec& spec) {
+      spec.priority = static_cast<Priority>(i % 4);
+      spec.team = i % 3 == 0 ? "blue" : "red";
+    };
+    ASSERT_TRUE(w.Submit(job, 2, w.labels[static_cast<std::size_t>(i) % 3]));
+    open.push_back(job);
+  }
+  w.hold_push = [&w] { return std::optional(w.now + Seconds{2}); };
+  for (int second = 0; second < 400 && !open.empty(); ++second) {
+    w.ForMachines("", [](auto& m) { m.slow = true; });
+    if (second % 50 == 30) w.LeaderEndsAndIsBack();
+    if (second % 40 == 10) {
+      EXPECT_TRUE(w.CancelInTime(open.back(), 20));
+      open.pop_back();
+    }
+    w.Run(1);
+    if (second % 10 != 9) continue;
+    for (const std::string& job : open) w.CompleteAll(job);
+    std::erase_if(open, [&](const std::string& job) {
+      return w.completed.contains({{job}, 0}) && w.completed.contains({{job}, 1});
+    });
+  }
+  EXPECT_EQ(open, std::vector<std::string>{}) << "all have had their turn";
+}
+
+// Repeats of unfinished jobs, cancellations of jobs that are done, jobs that fit no machine and
+// jobs that lack a field, at every controller, one of which has no state service.
+void OddRequestsAreNeverAccepted(FaultWorld& w) {
+  w.CompleteAll("j-2");
+  w.Run(6);
+  w.runs.at(w.Follower())->door.refused = true;
+  const wire::Json good = wire::JobToRecord(w.Spec("j-50", 1));
+  std::vector<wire::Json> odd;
+  for (const char* field : {"id", "flock", "nest", "gait", "rank", "pecks", "cpus", "gpus",
+                            "ram_gb", "plumage", "image_gb", "together", "apart",
+                            "borrowed_branches", "flight_s", "cache_every_s", "stash_s"}) {
+    odd.push_back(good);
+    odd.back().erase(field);
+    odd.push_back(good);
+    odd.back()[field] = wire::Json::array();
+  }
+  const std::vector<std::pair<const char*, wire::Json>> never{
+      {"cpus", 9.0},  {"gpus", 1.0}, {"ram_gb", 33.0},  {"perches", {"huge"}}, {"nest", "nobody"},
+      {"roost", "z"}, {"pecks", 0},  {"pecks", 100001}, {"gait", "flocking"},  {"cpus", -1.0}};
+  for (const auto& [field, value] : never) {
+    odd.push_back(good);
+    odd.back()[field] = value;
+  }
+  for (const wire::Json& body : odd)
+    for (const std::string& label : w.labels) {
+      const int status = w.runs.at(label)->api.Submit(body.dump()).status;
+      EXPECT_TRUE(status == 400 || status == 422 || status == 503) << status << " " << body;
+    }
+  for (const std::string& label : w.labels) {
+    EXPECT_NE(w.runs.at(label)->api.Cancel("j-50").status, 200) << "nobody submitted it";
+    EXPECT_NE(w.Cancel("j-2", label), "withdrawn") << "it is done";
+    EXPECT_NE(w.runs.at(label)->api.Submit(good.dump().substr(1)).status, 201);
+  }
+  w.AskEverywhere("j-1");
+  w.AskEverywhere("j-2");
+}
+
 // Four jobs of one task a second for two minutes, a quarter of them cancelled, some at once,
 // while the lead changes.
 void OneTaskJobsFourASecondAQuarterCancelled(FaultWorld& w) {
@@ -436,9 +593,68 @@
                 AZoneWithAControllerIsCutForLongerThanALease},
         Meeting{"MuteMachinesLoseTheirLeases", MuteMachinesLoseTheirLeasesThoughProbesAreAnswered},
         Meeting{"CancelledAtTheRefusal", CancelledAtTheRefusalAndOutASecondLater},
+        Meeting{"TheLeadGoesOverAndBackAndAllEnd", TheLeadGoesOverAndBackAndAllEnd},
+        Meeting{"TasksEndFarApartAcrossLeaders", TasksEndFarApartAcrossLeaders},
+        Meeting{"ALeaderEndsWhileMachinesAreOutOfReach", ALeaderEndsWhileMachinesAreOutOfReach},
+        Meeting{"QuickBootsWhileWritesLag", QuickBootsWhileWritesLagAndTheLeaderEnds},
+        Meeting{"MoreWorkThanRoomOverSlowLinks", MoreWorkThanRoomOverSlowLinks},
+        Meeting{"OddRequestsAreNeverAccepted", OddRequestsAreNeverAccepted},
         Meeting{"OneTaskJobsFourASecond", OneTaskJobsFourASecondAQuarterCancelled}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// ------------------------------------------------------------------ a slow state service
+
+// A state service whose every answer takes its time, which the clock shows.
+class SlowStore : public FakeStore {
+ public:
+  SlowStore(Instant& now, Seconds each) : now_(now), each_(each) {}
+  GetResult Get(const std::string& key) override { return Later(FakeStore::Get(key)); }
+  TxnResult Commit(const Transaction& txn) override { return Later(FakeStore::Commit(txn)); }
+  WatchResult Watch(const std::string& prefix, Stamp after, Seconds block) override {
+    return Later(FakeStore::Watch(prefix, after, block));
+  }
+
+ private:
+  template <typename Result>
+  Result Later(Result result) {
+    now_ = now_ + each_;
+    return result;
+  }
+  Instant& now_;
+  Seconds each_;
+};
+
+// A cancellation is answered while its user waits, 5 s, however slow; and whoever is told that
+// the job is cancelled is told so by every later question, through any controller.
+TEST(SlowStateService, ACancellationIsAnsweredInTimeAndNothingOlderLater) {
+  for (const double each : {0.05, 0.2, 0.4, 0.9, 1.4}) {
+    SCOPED_TRACE(each);
+    Instant now{100};
+    SlowStore store(now, {each});
+    std::list<JobApi> nodes;
+    const JobApi::Hooks hooks{
+        [] { return MeetingTypes(); }, [](const JobId&) { return JobCounts{}; },
+        [] { return WallTime{1000}; }, [&](Seconds s) { now = now + s; },
+        [&] { return now; },           [](const JobId&, Stamp) { return true; }};
+    for (int i = 0; i < 3; ++i)
+      nodes.emplace_back(store, MeetingOptions().teams, std::vector<std::string>{"a", "b"},
+                         Seconds{0}, Intake::Options{}, hooks);
+    ASSERT_EQ(nodes.front().Submit(wire::JobToRecord(MakeJob("j-1")).dump()).status, 201);
+    bool told = false;
+    for (int i = 0; i < 8; ++i)
+      for (JobApi& node : nodes) {
+        const Instant begin = now;
+        const HttpResponse answer = node.Cancel("j-1");
+        EXPECT_LT(now - begin, Seconds{5});
+        told |= answer.status == 200;
+        if (!told) continue;
+        EXPECT_EQ(answer.status, 200);
+        EXPECT_EQ(wire::Json::parse(node.Query("j-1").body).at("mood"), "withdrawn");
+      }
+    EXPECT_TRUE(told);
+  }
+}
+
 // ------------------------------------------------------------------ jobs that may not be stuck
 
 class NoJobIsStuck : public World {
