The core's large files are split by concern, as moves alone

Every function stands as it was, in a file with one job: limits, job_order, task_placement, preemption, spare_capacity, record_loader, record_writer, scheduler_status, cloud_calls, consolidation, run_time_learning and probes; machine_care is now machine_lifecycle.

The sorted lines of the sources before and after differ by the new files' head comments and the spaces before one comment. scheduler.h is unchanged.

--- /dev/null
+++ b/src/core/spare_capacity.cc
@@ -0,0 +1,151 @@
+// Spare capacity: room for services to come, and cheap idle machines kept for recent classes.
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+#include "core/scheduler.h"
+
+namespace magpie {
+
+void Scheduler::NoteArrival(Job& job, double tasks, Instant now) {
+  job.arrived = now;
+  // Services by image; arrays go by class alone.
+  const bool service = job.spec.kind == JobKind::kService;
+  Recent& recent = recent_[job.spec.job_class + (service ? " " + job.spec.image : "")];
+  recent.weight =
+      recent.weight * std::exp(-std::max(0.0, (now - recent.at).v) / kArrivalMemory) + tasks;
+  recent.spec = job.spec;
+  recent.image = job.image;
+  recent.at = now;
+}
+
+// Keeps room for the next services and rents it if there is none: one replica
+// for each image, where the image is if possible, and for each shape what the
+// largest of the latest services took and what arrives while a machine boots.
+void Scheduler::PlanSpare(Plan& plan, Instant now) {
+  constexpr double kMostOfRunning = 0.1;
+  struct Need {
+    const JobSpec* spec = nullptr;
+    double arrived = 0;
+    std::uint32_t largest = 0;
+    std::uint32_t held = 0;
+    std::vector<std::uint32_t> images;
+  };
+  std::map<std::string, Need> needs;
+  for (auto it = recent_.begin(); it != recent_.end();) {
+    const Recent& recent = it->second;
+    if (now - recent.at > options_.headroom_for) {
+      it = recent_.erase(it);
+      continue;
+    }
+    ++it;
+    if (recent.spec.kind != JobKind::kService) continue;
+    Need& need = needs[ShapeOf(recent.spec)];
+    need.spec = &recent.spec;
+    need.images.push_back(recent.image);
+    need.arrived += recent.weight * std::exp(-(now - recent.at).v / kArrivalMemory);
+    if (now - recent.at < Seconds{kArrivalMemory})
+      need.largest = std::max(need.largest, recent.spec.tasks);
+    for (std::uint32_t i = 0; i < options_.headroom; ++i) {
+      std::optional<std::size_t> best;
+      auto key = [&](const Slot& s) {
+        const bool cached = s.machine != nullptr && HasImage(*s.machine, recent.image);
+        return std::tuple(!s.now, !cached, !s.needed, kinds_[s.kind].type->price);
+      };
+      for (std::size_t k = 0; k < plan.by_kind.size(); ++k) {
+        if (plan.by_kind[k].empty() || !KindAllows(recent.spec, kinds_[k])) continue;
+        for (const std::size_t slot : plan.by_kind[k])
+          if (recent.spec.each.Fits(plan.slots[slot].lane.room()) &&
+              (!best || key(plan.slots[slot]) < key(plan.slots[*best])))
+            best = slot;
+      }
+      if (best) {
+        HoldIn(plan, *best, now, recent.spec.each, std::nullopt);
+      } else if (plan.may_rent) {
+        RentSpare(plan, recent.spec, 1, now);
+      }
+      ++need.held;
+    }
+  }
+  double running = 0;
+  for (const auto& [id, job] : jobs_)
+    if (job->spec.kind == JobKind::kService) running += job->bound;
+  for (auto& [shape, need] : needs) {
+    const JobSpec& spec = *need.spec;
+    Seconds boot{};
+    for (const MachineType& type : fleet_.types()) boot = std::max(boot, type.boot);
+    // A flood, as after a long outage, is not taken for the usual rate.
+    const double arriving =
+        std::min(need.arrived / kArrivalMemory * boot.v, kMostOfRunning * running);
+    const auto all = static_cast<std::uint32_t>(std::ceil(
+        options_.headroom * std::max<double>(need.largest > 1 ? need.largest : 0, arriving)));
+    if (all <= need.held) continue;
+    std::uint32_t want = all - need.held;
+    std::vector<std::tuple<bool, int, bool, double, std::size_t>> order;
+    for (std::size_t i = 0; i < plan.slots.size(); ++i) {
+      const Slot& slot = plan.slots[i];
+      if (!spec.each.Fits(slot.lane.room()) || !KindAllows(spec, kinds_[slot.kind])) continue;
+      int cached = 0;
+      if (slot.machine != nullptr)
+        for (const std::uint32_t image : need.images) cached += HasImage(*slot.machine, image);
+      order.emplace_back(!slot.now, -cached, !slot.needed, kinds_[slot.kind].type->price, i);
+    }
+    std::sort(order.begin(), order.end());
+    // Replicas of one service may not all be in one zone.
+    const std::uint32_t most_in_zone = spec.apart ? (want + 1) / 2 : want;
+    std::map<std::string, std::uint32_t> in_zone;
+    for (const auto& key : order) {
+      const Slot& slot = plan.slots[std::get<4>(key)];
+      std::uint32_t& here = in_zone[kinds_[slot.kind].kind.zone];
+      while (want > 0 && here < most_in_zone && spec.each.Fits(slot.lane.room())) {
+        HoldIn(plan, std::get<4>(key), now, spec.each, std::nullopt);
+        ++here;
+        --want;
+      }
+      if (want == 0) break;
+    }
+    while (want > 0 && plan.may_rent) {
+      const std::uint32_t brought = RentSpare(plan, spec, want, now);
+      if (brought == 0) break;
+      want -= std::min(want, brought);
+    }
+  }
+}
+
+// Orders a machine for replicas to come; tells how many of them it holds.
+std::uint32_t Scheduler::RentSpare(Plan& plan, const JobSpec& spec, std::uint32_t tasks,
+                                   Instant now) {
+  const auto offer =
+      fleet_.Plan({&spec, [](const std::string&) { return true; }, tasks, Seconds{1e9}, false,
+                   [](const MachineType&) { return Seconds{}; }},
+                  plan.have, now);
+  plan.unsettled = true;
+  if (!offer) return 0;
+  ++plan.orders[offer->kind];
+  ++plan.have[offer->kind];
+  return HowMany(offer->type->room, spec.each);
+}
+
+// Keeps the cheap idle machines that recent classes of arrays may soon use.
+void Scheduler::KeepCheap(Plan& plan, Instant now) {
+  for (auto& [name, recent] : recent_) {
+    const JobSpec& spec = recent.spec;
+    if (spec.kind != JobKind::kArray || now - recent.at > options_.spot_kept) continue;
+    std::uint32_t left = spec.tasks;
+    for (const bool used : {true, false}) {
+      for (Slot& slot : plan.slots) {
+        if (left == 0) break;
+        if (slot.needed != used || !kinds_[slot.kind].kind.spot ||
+            !KindAllows(spec, kinds_[slot.kind]))
+          continue;
+        while (left > 0 && spec.each.Fits(slot.lane.room())) {
+          slot.lane.Hold(now, spec.each, std::nullopt);
+          slot.needed = true;
+          --left;
+        }
+      }
+    }
+  }
+}
+
+}  // namespace magpie
--- /dev/null
+++ b/src/core/task_placement.cc
@@ -0,0 +1,266 @@
+// Places the tasks of one job: binds them, reserves room for them, or plans machines to rent.
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "core/scheduler.h"
+
+namespace magpie {
+
+// The places where the tasks of one job could go, from a shelf that it shares
+// with the jobs like it: the machines are looked at once for all of them; after
+// that only those that have changed. Two questions give the rule's two answers:
+// the smallest machine with room now and slack, and the soonest finisher.
+class Scheduler::Places {
+ public:
+  struct Place {
+    std::size_t slot = 0;
+    Choice choice;
+    Instant start;
+  };
+
+  Places(Scheduler& s, Plan& plan, const Job& job, Seconds target, Instant now)
+      : s_(s), plan_(plan), job_(job), shelf_(ShelfFor(plan, job)), target_(target), now_(now) {
+    for (std::size_t kind = 0; kind < plan.by_kind.size(); ++kind) Allow(kind);
+    SortKinds();
+  }
+
+  // The rule's choice as the plan stands now.
+  std::optional<Place> Pick() {
+    CatchUp();
+    if (const auto best = BestNow()) return best;
+    return Soonest();
+  }
+
+ private:
+  struct Allowed {
+    bool dear = false;  // an ordinary machine, for work that may use spot ones
+    double size = 0;
+    std::size_t kind = 0;
+    auto operator<=>(const Allowed&) const = default;
+  };
+
+  static Shelf& ShelfFor(Plan& plan, const Job& job) {
+    constexpr std::size_t kMostShelves = 16;
+    const JobSpec& spec = job.spec;
+    ++plan.asked;
+    auto least = plan.shelves.begin();
+    for (auto it = plan.shelves.begin(); it != plan.shelves.end(); ++it) {
+      if (it->Serves(spec.each, job.image, spec.image_gb)) {
+        it->used = plan.asked;
+        return *it;
+      }
+      if (it->used < least->used) least = it;
+    }
+    if (plan.shelves.size() >= kMostShelves) plan.shelves.erase(least);
+    Shelf& shelf = plan.shelves.emplace_back(spec.each, job.image, spec.image_gb);
+    shelf.used = plan.asked;
+    shelf.seen = plan.changed.size();
+    return shelf;
+  }
+
+  // Kinds that the job may not use, or whose zone is full for it, are passed
+  // over whole.
+  void Allow(std::size_t kind) {
+    const KindFacts& facts = s_.kinds_[kind];
+    if (plan_.by_kind[kind].empty() || !s_.KindAllows(job_.spec, facts) ||
+        !s_.ZoneOk(job_, facts.kind.zone))
+      return;
+    kinds_.push_back({job_.spec.spot && !facts.kind.spot, facts.type->room.cpus, kind});
+  }
+
+  void SortKinds() {
+    std::sort(kinds_.begin(), kinds_.end());
+    known_ = plan_.by_kind.size();
+  }
+
+  // Takes in what changed since the shelf was last asked.
+  void CatchUp() {
+    for (; shelf_.seen < plan_.changed.size(); ++shelf_.seen) {
+      const std::size_t i = plan_.changed[shelf_.seen];
+      Shelf::Kind& there = shelf_.Of(plan_.slots[i].kind);
+      if (there.now.filled) PutNow(there.now, i);
+      if (there.later.filled) PutLater(there.later, i);
+    }
+    if (known_ == plan_.by_kind.size()) return;  // else a kind is new to the plan
+    for (std::size_t kind = known_; kind < plan_.by_kind.size(); ++kind) Allow(kind);
+    SortKinds();
+  }
+
+  void PutNow(Shelf::Heap& heap, std::size_t i) {
+    const Slot& slot = plan_.slots[i];
+    ++s_.places_looked_at_;
+    if (!slot.now || !shelf_.each().Fits(slot.lane.room())) return;
+    const auto start = slot.lane.Earliest(shelf_.each());
+    if (start && *start <= now_) heap.Put(PlaceOf(i, *start));
+  }
+
+  void PutLater(Shelf::Heap& heap, std::size_t i) {
+    ++s_.places_looked_at_;
+    const auto start = plan_.slots[i].lane.Earliest(shelf_.each());
+    if (start) heap.Put(PlaceOf(i, *start));
+  }
+
+  Shelf::Place PlaceOf(std::size_t i, Instant start) const {
+    const Slot& slot = plan_.slots[i];
+    const MachineType& type = *s_.kinds_[slot.kind].type;
+    Seconds wait = start - now_;
+    if (type.fetch_gb_per_s > 0 &&
+        (slot.machine == nullptr || !s_.HasImage(*slot.machine, shelf_.image())))
+      wait = wait + Seconds{shelf_.image_gb() / type.fetch_gb_per_s};
+    return {wait, slot.lane.room().cpus, static_cast<std::uint32_t>(i), plan_.versions[i]};
+  }
+
+  Choice ChoiceOf(const Allowed& kind, const Shelf::Place& place, bool now) const {
+    return {kind.dear, kind.size, place.spare, now, place.wait, s_.RunOn(job_, kind.kind)};
+  }
+
+  // A zone that is full for the job stays full for the rest of the plan.
+  bool Open(const Allowed& kind) const { return s_.ZoneOk(job_, s_.kinds_[kind.kind].kind.zone); }
+
+  Place Picked(const Allowed& kind, const Shelf::Place& place) const {
+    const Slot& slot = plan_.slots[place.slot];
+    const Instant start = *slot.lane.Earliest(shelf_.each());
+    return {place.slot, ChoiceOf(kind, place, slot.now && start <= now_), start};
+  }
+
+  std::optional<Place> BestNow() {
+    const Allowed* best = nullptr;
+    Shelf::Place there;
+    for (const Allowed& kind : kinds_) {
+      if (best != nullptr && std::tie(best->dear, best->size) < std::tie(kind.dear, kind.size))
+        break;
+      Shelf::Heap& heap = shelf_.Of(kind.kind).now;
+      if (!std::exchange(heap.filled, true))
+        for (const std::size_t i : plan_.by_kind[kind.kind]) PutNow(heap, i);
+      const auto top = heap.Best(plan_.versions);
+      if (!top || (best != nullptr && !(*top < there))) continue;
+      if (Slack(target_, ChoiceOf(kind, *top, true), s_.options_.weights).v < 0 || !Open(kind))
+        continue;
+      best = &kind;
+      there = *top;
+    }
+    if (best == nullptr) return std::nullopt;
+    return Picked(*best, there);
+  }
+
+  std::optional<Place> Soonest() {
+    const Allowed* best = nullptr;
+    Shelf::Place there;
+    Seconds soonest;
+    for (const Allowed& kind : kinds_) {
+      Shelf::Heap& heap = shelf_.Of(kind.kind).later;
+      if (!std::exchange(heap.filled, true))
+        for (const std::size_t i : plan_.by_kind[kind.kind]) PutLater(heap, i);
+      const auto top = heap.Best(plan_.versions);
+      if (!top) continue;
+      const Seconds end = top->wait + s_.RunOn(job_, kind.kind);
+      if (best != nullptr && std::tie(soonest, best->dear, best->size, there.spare) <=
+                                 std::tie(end, kind.dear, kind.size, top->spare))
+        continue;
+      if (!Open(kind)) continue;
+      best = &kind;
+      there = *top;
+      soonest = end;
+    }
+    if (best == nullptr) return std::nullopt;
+    return Picked(*best, there);
+  }
+
+  Scheduler& s_;
+  Plan& plan_;
+  const Job& job_;
+  Shelf& shelf_;
+  Seconds target_;
+  Instant now_;
+  std::vector<Allowed> kinds_;  // that the job may use, the rule's first ones first
+  std::size_t known_ = 0;       // kinds of the plan that were looked at
+};
+
+// Finds places for the job's tasks: binds them, or lets them hold room on the
+// machines that finish them soonest, or plans machines for them. At most
+// `budget` tasks are looked at.
+void Scheduler::PlanJob(Plan& plan, const Waiting& planned, Instant now, int& budget) {
+  constexpr Seconds kFarAhead{60};
+  Job& job = *planned.job;
+  const Due& due = planned.due;
+  ++jobs_planned_;
+  const bool service = job.spec.kind == JobKind::kService;
+  std::uint32_t* alike = plan.may_rent ? &plan.alike[job.shape] : nullptr;
+  Places places(*this, plan, job, due.target, now);
+  std::size_t waiting = 0;
+  const bool limited = planned.most != Blame::kAll;
+  std::uint32_t left = planned.most;
+  while (job.pending.size() > waiting && budget > 0 && left > 0 &&
+         WithinLimit(job, plan.use_soon, job.spec.each)) {
+    --budget;
+    --left;
+    if (alike != nullptr && *alike > 0) --*alike;
+    const auto pick = places.Pick();
+    // Beyond the quota that holds far ahead leave, nothing is held, rented or stopped for.
+    if (!WithinLimit(job, plan.use, job.spec.each) && (!pick || !pick->choice.now)) return;
+    const bool in_time = pick && Slack(due.target, pick->choice, options_.weights).v >= 0;
+    const bool at_once = pick && pick->choice.now;
+    const bool late = !pick || Slack(due.rent_target, pick->choice, options_.weights).v < 0;
+    if (late && plan.may_rent && !at_once && (!limited || !pick)) {
+      if (PlanRental(plan, job, due.rent_target, now,
+                     pick ? std::optional(pick->choice.wait + pick->choice.run) : std::nullopt)) {
+        plan.use[job.spec.team] += job.spec.each;
+        plan.use_soon[job.spec.team] += job.spec.each;
+        ++waiting;
+        continue;
+      }
+    }
+    if (!in_time && !at_once) {
+      // What will be late all the same stops nothing.
+      if (!planned.put_off && !limited) MakeRoom(plan, job, now);
+    } else if (!in_time && service && !limited && pick->choice.wait.v > 0 &&
+               MakeRoom(plan, job, now)) {
+      return;  // rather at once where the image is, than here after a fetch
+    }
+    if (!pick) return;
+    const Slot& slot = plan.slots[pick->slot];
+    HoldIn(plan, pick->slot, pick->start, job.spec.each,
+           service ? std::nullopt : std::optional(now + pick->choice.wait + pick->choice.run));
+    plan.use[job.spec.team] += job.spec.each;
+    const bool boots = slot.machine == nullptr || !slot.machine->up;
+    if (at_once || boots || pick->choice.wait <= kFarAhead)
+      plan.use_soon[job.spec.team] += job.spec.each;
+    if (at_once) {
+      const std::uint32_t index = job.pending.front();
+      job.pending.pop_front();
+      Bind(job, index, *slot.machine, now);
+    } else {
+      ++waiting;
+    }
+  }
+}
+
+// A machine for the job's next task, if it is worth its price: only if it ends
+// the task clearly sooner than `otherwise`. The task holds its room.
+bool Scheduler::PlanRental(Plan& plan, Job& job, Seconds target, Instant now,
+                           std::optional<Seconds> otherwise) {
+  constexpr double kLeastGain = 0.25;  // of boot or run time
+  const Shortage shortage{&job.spec,
+                          [&](const std::string& zone) { return ZoneOk(job, zone); },
+                          std::max(1U, plan.alike[job.shape]),
+                          target,
+                          !otherwise,
+                          [&](const MachineType& t) { return table_.Expect(job.spec, t.name); }};
+  const auto offer = fleet_.Plan(shortage, plan.have, now);
+  if (!offer) return false;
+  const Seconds run = table_.Expect(job.spec, offer->kind.type);
+  const Seconds margin = std::max(kLeastGain * offer->type->boot, kLeastGain * run);
+  if (otherwise && offer->ready + run + margin >= *otherwise) return false;
+  ++plan.orders[offer->kind];
+  ++plan.have[offer->kind];
+  Slot slot{nullptr, KindNumber(offer->kind), Lane(offer->type->room, now + offer->type->boot),
+            false, true};
+  slot.lane.Hold(
+      now + offer->type->boot, job.spec.each,
+      job.spec.kind == JobKind::kService ? std::nullopt : std::optional(now + offer->ready + run));
+  AddSlot(plan, std::move(slot));
+  return true;
+}
+
+}  // namespace magpie
