A lost answer at the end of a takeover's read is asked for again alone

The read of the records ends with a comparison of the leadership. Now the comparison alone is repeated, as long as we lead by our own view. Not measured by itself.

--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -593,6 +593,21 @@
   }
 }
 
+// Asks the state service until it answers, as long as we lead by our own view: a lost answer is
+// no reason to read everything again.
+bool Controller::StandsInRecords(const Leadership& leadership) {
+  const Transaction compare{
+      {{records::kLeader, leadership.leader}, {records::kEpoch, leadership.epoch}}, {}};
+  Backoff backoff = LoopBackoff();
+  while (StillLeading(leadership)) {
+    const StoreEnd end = store_.Commit(compare).end;
+    if (end == StoreEnd::kOk) return true;
+    if (end == StoreEnd::kConflict) return false;
+    PauseLonger(backoff);
+  }
+  return false;
+}
+
 bool Controller::Load(const Leadership& leadership, Stamp& tick) {
   std::vector<records::JobRecord> jobs;
   std::vector<Stamp> stamps;
@@ -622,9 +637,7 @@
   }
   // Reading may have lasted through an outage or a cut. What a successor wrote since is not to be
   // acted upon by us, who would take it for our own.
-  const Transaction still_leading{
-      {{records::kLeader, leadership.leader}, {records::kEpoch, leadership.epoch}}, {}};
-  if (store_.Commit(still_leading).end != StoreEnd::kOk) return false;
+  if (!StandsInRecords(leadership)) return false;
   std::lock_guard lock(mutex_);
   if (leadership_ != leadership) return false;
   scheduler_.FinishLoad(SteadyNow());
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -54,6 +54,7 @@
   void LeaderLoop();
   // With nothing that it knew; under the lock, while we lead.
   void StartScheduler();
+  bool StandsInRecords(const Leadership& leadership);
   bool Load(const Leadership& leadership, Stamp& tick);
   void Follow(const Leadership& leadership, Stamp tick);
   void TickLoop();
