--- a/src/app/job_api.cc
+++ b/src/app/job_api.cc
@@ -228,7 +228,8 @@
       const TxnResult result = store_.Commit(
           {{{records::JobKey(id), stamp}}, {{records::JobKey(id), record, std::nullopt}}});
       if (result.end == StoreEnd::kOk) stamp = result.tick;
-      if (result.end != StoreEnd::kOk && result.end != StoreEnd::kConflict) wait();
+      // Without an answer the job is read again at once, which shows what became of it.
+      if (result.end == StoreEnd::kRefused || result.end == StoreEnd::kBad) wait();
       return result.end == StoreEnd::kOk;
     };
     if (!record.value(records::kStopping, false) && !mark(records::kStopping)) continue;
--- a/src/intake/intake.cc
+++ b/src/intake/intake.cc
@@ -13,7 +13,7 @@
 constexpr Seconds kSoonest{1};  // users come back after this at the least
 constexpr Seconds kLatest{5};   // later than this is a guess: the rate is being learned
 constexpr double kSpread = 0.5;
-constexpr int kMostTries = 4;
+constexpr int kMostTries = 8;
 }  // namespace
 
 Intake::Intake(Store& store, Options options, Hooks hooks)
@@ -63,6 +63,21 @@
   pace_.Charge(1, hooks_.now());
 }
 
+// Whether the jobs of a transaction without an answer are durable. A job that is there is
+// known, whoever wrote it; one that is absent says nothing, since the transaction may still
+// be carried out, and is submitted again under the same conditions. The transaction is
+// atomic, so none need be looked for after the first that is absent.
+Intake::Readback Intake::ReadBack(const std::vector<Entry*>& batch) {
+  Readback readback;
+  for (const Entry* entry : batch) {
+    const GetResult got = store_.Get(records::JobKey(entry->id));
+    readback.answered = got.end == StoreEnd::kOk;
+    if (!readback.answered || !got.entry) break;
+    ++readback.there;
+  }
+  return readback;
+}
+
 // One transaction for the first that wait, or a pause before it.
 void Intake::WriteSome(std::unique_lock<std::mutex>& lock) {
   writing_ = true;
@@ -93,7 +108,10 @@
     }
     lock.unlock();
     const TxnResult result = store_.Commit(txn);
+    Readback readback;
+    if (result.end == StoreEnd::kUnknown) readback = ReadBack(batch);
     lock.lock();
+    for (std::size_t i = 0; i < readback.there; ++i) Finish(*batch[i], End::kKnown);
     const std::set<std::string> failed(result.failed.begin(), result.failed.end());
     if (result.end == StoreEnd::kOk) backoff_.Reset();
     // Those without an answer yet wait again, before all others.
@@ -112,7 +130,9 @@
       if (!entry.over) waiting_.push_front(&entry);
     }
     if (result.over_rate) pace_.Refused(hooks_.now());
-    if (result.end == StoreEnd::kRefused || result.end == StoreEnd::kUnknown)
+    // After an answered read nothing is gained by a pause: `pace_` bounds what is sent again.
+    if (result.end == StoreEnd::kRefused ||
+        (result.end == StoreEnd::kUnknown && !readback.answered))
       sleep(backoff_.Next(ThreadRandom()));
   }
   const Instant now = hooks_.now();
--- a/src/intake/intake.h
+++ b/src/intake/intake.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <mutex>
+#include <vector>
 
 #include "core/types.h"
 #include "governor/governor.h"
@@ -53,14 +54,20 @@
     Entry& operator=(const Entry&) = delete;
     JobId id;
     Json record;
-    std::size_t bytes;  // of what it adds to a transaction, at most
-    Instant until;      // then it is given up
-    int tries = 0;
+    std::size_t bytes;   // of what it adds to a transaction, at most
+    Instant until;       // then it is given up
+    int tries = 0;       // that came to nothing
     bool alone = false;  // it, or one with it, was called malformed
     bool over = false;
     End end = End::kUnavailable;
   };
+  // What a look at the jobs of a transaction without an answer has shown.
+  struct Readback {
+    bool answered = false;  // by the state service
+    std::size_t there = 0;  // so many of the first jobs have a record
+  };
   void WriteSome(std::unique_lock<std::mutex>& lock);
+  Readback ReadBack(const std::vector<Entry*>& batch);
   static void Finish(Entry& entry, End end);
   Seconds ComeBack();
 
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -164,7 +164,11 @@
 }
 
 HttpAnswer HttpClient::Post(const std::string& path, const std::string& body) {
-  return Call("POST", path, &body, timeout_);
+  return Post(path, body, timeout_);
+}
+
+HttpAnswer HttpClient::Post(const std::string& path, const std::string& body, Seconds timeout) {
+  return Call("POST", path, &body, timeout);
 }
 
 }  // namespace magpie
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -38,6 +38,8 @@
   // `longer` is added to the time limit (for calls that block on purpose).
   HttpAnswer Get(const std::string& path, Seconds longer = {});
   HttpAnswer Post(const std::string& path, const std::string& body);
+  // With a time limit of its own for the answer.
+  HttpAnswer Post(const std::string& path, const std::string& body, Seconds timeout);
 
  private:
   class Exchange;
--- a/src/state/http_store.cc
+++ b/src/state/http_store.cc
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <chrono>
+
 namespace magpie {
 namespace {
 
@@ -16,6 +18,17 @@
   return StoreEnd::kUnknown;
 }
 
+class Stopwatch {
+ public:
+  Seconds Passed() const {
+    const std::chrono::duration<double> passed = std::chrono::steady_clock::now() - begin_;
+    return {passed.count()};
+  }
+
+ private:
+  std::chrono::steady_clock::time_point begin_ = std::chrono::steady_clock::now();
+};
+
 StoreEntry EntryOf(const Json& o) {
   return {o.at("path").get<std::string>(), o.at("v"), {o.at("stamp").get<std::uint64_t>()}};
 }
@@ -55,10 +68,21 @@
 }
 
 HttpStore::HttpStore(const Address& address, Seconds timeout)
-    : client_(address, Seconds{1}, timeout, kKeptConnections) {}
+    : client_(address, Seconds{1}, timeout, kKeptConnections), answer_timeout_({.most = timeout}) {}
+
+// A read that is answered at once, and tells how quick the service is.
+HttpAnswer HttpStore::Read(const std::string& path) {
+  const Stopwatch watch;
+  HttpAnswer answer = client_.Get(path);
+  if (answer.answered) {
+    std::lock_guard lock(mutex_);
+    answer_timeout_.ReadAnswered(watch.Passed());
+  }
+  return answer;
+}
 
 GetResult HttpStore::Get(const std::string& key) {
-  const HttpAnswer answer = client_.Get("/kv/" + key);
+  const HttpAnswer answer = Read("/kv/" + key);
   if (answer.answered && answer.status == 404) return {StoreEnd::kOk, std::nullopt};
   if (answer.status != 200) return {EndOf(answer), std::nullopt};
   return Parse<GetResult>(answer, [](const Json& o, GetResult& r) { r.entry = EntryOf(o); });
@@ -78,7 +102,21 @@
 }
 
 TxnResult HttpStore::Commit(const Transaction& txn) {
-  const HttpAnswer answer = client_.Post("/txn", TransactionToJson(txn).dump());
+  const std::string body = TransactionToJson(txn).dump();
+  Seconds limit;
+  {
+    std::lock_guard lock(mutex_);
+    limit = answer_timeout_.Limit();
+  }
+  const Stopwatch watch;
+  const HttpAnswer answer = client_.Post("/txn", body, limit);
+  if (answer.sent) {
+    std::lock_guard lock(mutex_);
+    if (answer.answered)
+      answer_timeout_.TransactionAnswered(watch.Passed());
+    else
+      answer_timeout_.TransactionUnanswered();
+  }
   if (answer.status != 200 && answer.status != 409)
     return {EndOf(answer), {}, {}, answer.answered && answer.status == 429};
   TxnResult result = Parse<TxnResult>(answer, [](const Json& o, TxnResult& r) {
@@ -105,10 +143,9 @@
 }
 
 WatchResult HttpStore::Watch(const std::string& prefix, Stamp after, Seconds block) {
-  const HttpAnswer answer =
-      client_.Get("/watch?under=" + prefix + "&after=" + std::to_string(after.v) +
-                      "&block_ms=" + std::to_string(static_cast<std::int64_t>(block.v * 1000)),
-                  block.v > 0 ? block + Seconds{5} : Seconds{0});
+  const std::string path = "/watch?under=" + prefix + "&after=" + std::to_string(after.v) +
+                           "&block_ms=" + std::to_string(static_cast<std::int64_t>(block.v * 1000));
+  const HttpAnswer answer = block.v > 0 ? client_.Get(path, block + Seconds{5}) : Read(path);
   if (answer.answered && answer.status == 410) return {StoreEnd::kOk, true, {}, {}};
   if (answer.status != 200) return {EndOf(answer), false, {}, {}};
   return Parse<WatchResult>(answer, [](const Json& o, WatchResult& r) {
--- a/src/state/http_store.h
+++ b/src/state/http_store.h
@@ -1,11 +1,16 @@
 // The state service over HTTP.
 #pragma once
 
+#include <mutex>
+
 #include "net/http_client.h"
+#include "state/answer_timeout.h"
 #include "state/store.h"
 
 namespace magpie {
 
+// Reads and leases wait for their answers for `timeout`, transactions for a time that is
+// learned from the latencies and never longer (state/answer_timeout.h).
 class HttpStore : public Store {
  public:
   HttpStore(const Address& address, Seconds timeout);
@@ -19,7 +24,11 @@
   WatchResult Watch(const std::string& prefix, Stamp after, Seconds block) override;
 
  private:
+  HttpAnswer Read(const std::string& path);
+
   HttpClient client_;
+  std::mutex mutex_;
+  AnswerTimeout answer_timeout_;  // guarded by mutex_
 };
 
 // The transaction as the protocol writes it.
--- a/src/state/plan_writer.cc
+++ b/src/state/plan_writer.cc
@@ -34,6 +34,12 @@
         break;
       case StoreEnd::kUnknown:
         uncertain = true;
+        // Read back first: that costs no change, which a repetition would.
+        if (const auto landed = Landed(plan, leadership)) {
+          outcome.end = WriteOutcome::End::kWritten;
+          outcome.stamp = *landed;
+          return outcome;
+        }
         Wait();
         break;
       case StoreEnd::kRefused:
