--- a/src/state/plan_writer.cc
+++ b/src/state/plan_writer.cc
@@ -35,12 +35,8 @@
       case StoreEnd::kUnknown:
         uncertain = true;
         // Read back first: that costs no change, which a repetition would.
-        if (const auto landed = Landed(plan, leadership)) {
-          outcome.end = WriteOutcome::End::kWritten;
-          outcome.stamp = *landed;
-          return outcome;
-        }
-        Wait();
+        if (auto known = OutcomeOf(ReadBack(plan, leadership))) return *std::move(known);
+        Wait();  // not carried out, so far
         break;
       case StoreEnd::kRefused:
         Wait();
@@ -64,29 +60,34 @@
     outcome.end = uncertain ? End::kUnknown : End::kRejected;
     return outcome;
   }
-  if (uncertain) {
-    const EarlierTries earlier = ReadBack(plan, leadership);
-    switch (earlier.end) {
-      case EarlierTries::End::kCarriedOut:
-        outcome.end = End::kWritten;
-        outcome.stamp = earlier.stamp;
-        return outcome;
-      case EarlierTries::End::kDeposed:
-        outcome.end = End::kUnknown;
-        outcome.deposed = true;
-        return outcome;
-      case EarlierTries::End::kGivenUp:
-        return outcome;
-      case EarlierTries::End::kNotCarriedOut:
-        break;
-    }
-  }
+  if (uncertain)
+    if (auto known = OutcomeOf(ReadBack(plan, leadership))) return *std::move(known);
   for (const std::string& key : failed) outcome.stale |= records::ParsePageKey(key).has_value();
   Reload(plan, outcome);
   outcome.end = End::kRejected;
   return outcome;
 }
 
+// None: nothing of the plan has been carried out when it was read back.
+std::optional<WriteOutcome> PlanWriter::OutcomeOf(const EarlierTries& earlier) {
+  WriteOutcome outcome;
+  switch (earlier.end) {
+    case EarlierTries::End::kCarriedOut:
+      outcome.end = WriteOutcome::End::kWritten;
+      outcome.stamp = earlier.stamp;
+      return outcome;
+    case EarlierTries::End::kDeposed:
+      outcome.end = WriteOutcome::End::kUnknown;
+      outcome.deposed = true;
+      return outcome;
+    case EarlierTries::End::kGivenUp:
+      return outcome;
+    case EarlierTries::End::kNotCarriedOut:
+      break;
+  }
+  return std::nullopt;
+}
+
 // Reads one of the keys that the transaction changes. Only the leader writes them, so equal
 // contents at a new stamp are ours, and other contents say that nothing of it was written, both
 // only as long as we still led when they stood there: the next leader may write the very same
--- a/src/state/plan_writer.h
+++ b/src/state/plan_writer.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <vector>
 
 #include "core/scheduler.h"
@@ -46,7 +47,8 @@
   WriteOutcome Write(const WritePlan& plan, const records::Leadership& leadership);
 
  private:
-  // What became of the tries without an answer that preceded a conflict.
+  // What has become of the tries without an answer. After a conflict `kNotCarriedOut` is
+  // for good; before one a try may still be carried out.
   struct EarlierTries {
     enum class End { kCarriedOut, kNotCarriedOut, kDeposed, kGivenUp } end = End::kGivenUp;
     Stamp stamp;  // if carried out
@@ -54,6 +56,7 @@
   void Wait();
   WriteOutcome AfterConflict(const WritePlan& plan, const records::Leadership& leadership,
                              const std::vector<std::string>& failed, bool uncertain);
+  static std::optional<WriteOutcome> OutcomeOf(const EarlierTries& earlier);
   EarlierTries ReadBack(const WritePlan& plan, const records::Leadership& leadership);
   void Reload(const WritePlan& plan, WriteOutcome& outcome);
 
