--- /dev/null
+++ b/src/scale/codec.cc
@@ -0,0 +1,217 @@
+#include "scale/codec.h"
+
+#include <charconv>
+
+#include "state/http_store.h"
+
+namespace magpie::scale {
+namespace {
+
+using wire::BadMessage;
+
+std::uint64_t CountOf(const Json& object, const char* field) {
+  const auto it = object.find(field);
+  if (it == object.end() || !it->is_number_integer())
+    throw BadMessage(std::string(field) + ": not a count");
+  return it->get<std::uint64_t>();
+}
+
+std::string TextOf(const Json& object, const char* field) {
+  const auto it = object.find(field);
+  if (it == object.end() || !it->is_string())
+    throw BadMessage(std::string(field) + ": not a string");
+  return it->get<std::string>();
+}
+
+const Json& ListOf(const Json& object, const char* field) {
+  static const Json kNone = Json::array();
+  const auto it = object.find(field);
+  if (it == object.end() || it->is_null()) return kNone;
+  if (!it->is_array()) throw BadMessage(std::string(field) + ": not a list");
+  return *it;
+}
+
+const char* MoodOf(ListedMachine::Mood mood) {
+  switch (mood) {
+    case ListedMachine::Mood::kStarting:
+      return "starting";
+    case ListedMachine::Mood::kRunning:
+      return "running";
+    case ListedMachine::Mood::kFailed:
+      return "failed";
+  }
+  return "";
+}
+
+}  // namespace
+
+std::string PathOf(const std::string& target) { return target.substr(0, target.find('?')); }
+
+std::optional<std::string> QueryField(const std::string& target, std::string_view field) {
+  const auto question = target.find('?');
+  if (question == std::string::npos) return std::nullopt;
+  std::string_view rest = std::string_view(target).substr(question + 1);
+  while (!rest.empty()) {
+    const std::string_view part = rest.substr(0, rest.find('&'));
+    rest.remove_prefix(std::min(rest.size(), part.size() + 1));
+    const auto equals = part.find('=');
+    if (equals != std::string_view::npos && part.substr(0, equals) == field)
+      return std::string(part.substr(equals + 1));
+  }
+  return std::nullopt;
+}
+
+std::optional<std::uint64_t> QueryCount(const std::string& target, std::string_view field) {
+  const auto text = QueryField(target, field);
+  if (!text) return std::nullopt;
+  std::uint64_t value = 0;
+  const char* to = text->data() + text->size();
+  const auto [end, error] = std::from_chars(text->data(), to, value);
+  if (error != std::errc{} || end != to) throw BadMessage(std::string(field) + ": not a count");
+  return value;
+}
+
+Transaction TransactionFromJson(const Json& body) {
+  Transaction transaction;
+  for (const Json& condition : ListOf(body, "when"))
+    transaction.when.push_back({TextOf(condition, "path"), {CountOf(condition, "stamp")}});
+  for (const Json& change : ListOf(body, "apply")) {
+    if (change.contains("drop")) {
+      transaction.apply.push_back({TextOf(change, "drop"), std::nullopt, std::nullopt});
+      continue;
+    }
+    if (!change.contains("v")) throw BadMessage("v: missing");
+    Change put{TextOf(change, "put"), change.at("v"), std::nullopt};
+    if (change.contains("tenure")) put.lease = LeaseId{CountOf(change, "tenure")};
+    transaction.apply.push_back(std::move(put));
+  }
+  return transaction;
+}
+
+Seconds LeaseLifeFromJson(const Json& body) {
+  constexpr double kMilli = 1e-3;
+  return {kMilli * static_cast<double>(CountOf(body, "life_ms"))};
+}
+
+Json ToJson(const StateEntry& entry) {
+  Json object{{"path", entry.key}, {"v", entry.value}, {"stamp", entry.stamp.v}};
+  if (entry.lease) object["tenure"] = entry.lease->v;
+  return object;
+}
+
+Json ToJson(const StateRange& range) {
+  Json entries = Json::array();
+  for (const StateEntry& entry : range.entries) entries.push_back(ToJson(entry));
+  return {{"entries", std::move(entries)}, {"truncated", range.more}, {"tick", range.tick.v}};
+}
+
+Json ToJson(const StateCommit& commit) {
+  if (commit.status == StateStatus::kOk) return TickToJson(commit.tick);
+  if (commit.status == StateStatus::kConflict)
+    return {{"failed", commit.failed}, {"tick", commit.tick.v}};
+  return {{"error", commit.error}};
+}
+
+Json ToJson(const StateLog& log) {
+  Json events = Json::array();
+  for (const WatchEvent& event : log.events) {
+    if (event.value)
+      events.push_back({{"put", event.key}, {"v", *event.value}, {"stamp", event.stamp.v}});
+    else
+      events.push_back({{"drop", event.key}, {"stamp", event.stamp.v}});
+  }
+  return {{"tick", log.tick.v}, {"log", std::move(events)}};
+}
+
+Json LeaseToJson(LeaseId lease) { return {{"tenure", lease.v}}; }
+
+Json TickToJson(Stamp tick) { return {{"tick", tick.v}}; }
+
+RentalRequest RentalFromJson(const Json& body) {
+  RentalRequest request;
+  request.name = TextOf(body, "hire");
+  request.type = TextOf(body, "perch_kind");
+  request.zone = TextOf(body, "roost");
+  request.spot = body.value("borrowed_branches", false);
+  request.count = static_cast<std::uint32_t>(CountOf(body, "count"));
+  return request;
+}
+
+Json TypesToJson(const std::vector<MachineType>& types) {
+  Json list = Json::array();
+  for (const MachineType& type : types)
+    list.push_back({{"name", type.name},
+                    {"cpus", type.room.cpus},
+                    {"gpus", type.room.gpus},
+                    {"ram_gb", type.room.memory_gb},
+                    {"cache_gb", type.cache_gb},
+                    {"pull_gb_per_s", type.fetch_gb_per_s},
+                    {"rate", type.price},
+                    {"low_price", type.spot_price},
+                    {"startup_s", type.boot.v},
+                    {"roosts", type.zones}});
+  return {{"perches", std::move(list)}};
+}
+
+Json MachinesToJson(const std::vector<ListedMachine>& machines, bool more) {
+  Json list = Json::array();
+  for (const ListedMachine& machine : machines)
+    list.push_back({{"id", machine.id.v},
+                    {"addr", machine.addr},
+                    {"perch_kind", machine.type},
+                    {"roost", machine.zone},
+                    {"borrowed_branches", machine.spot},
+                    {"mood", MoodOf(machine.mood)},
+                    {"age_s", machine.age.v}});
+  return {{"branches", std::move(list)}, {"truncated", more}};
+}
+
+agent::Answer AnswerFromReply(int status, const std::string& body) {
+  constexpr int kOk = 200;
+  constexpr int kElsewhere = 421;
+  agent::Answer answer;
+  try {
+    const Json object = wire::ParseObject(body);
+    if (status == kElsewhere) {
+      answer.kind = agent::Answer::Kind::kElsewhere;
+      if (object.contains("home_roost")) answer.home = TextOf(object, "home_roost");
+    } else if (status == kOk) {
+      if (object.contains("crest")) answer.token = Token{CountOf(object, "crest")};
+      if (object.contains("calls")) answer.commands = wire::CommandsFromJson(object.at("calls"));
+      answer.kind = agent::Answer::Kind::kOk;
+    }
+  } catch (const BadMessage&) {
+    return {};
+  }
+  return answer;
+}
+
+DirectCommands DirectFromJson(const Json& body) {
+  DirectCommands direct;
+  if (body.contains("crest")) direct.token = Token{CountOf(body, "crest")};
+  if (body.contains("stint")) direct.session = CountOf(body, "stint");
+  if (body.contains("calls")) direct.commands = wire::CommandsFromJson(body.at("calls"));
+  return direct;
+}
+
+Json JobToUser(const JobSpec& spec) {
+  Json body = wire::JobToRecord(spec);
+  body.erase("at");  // when it was submitted is the controllers' to note
+  return body;
+}
+
+ToldState ToldByAnswer(int status, const std::string& body) {
+  if (status == 404) return ToldState::kUnknown;
+  if (status == 400 || status == 422) return ToldState::kRefused;
+  if (status != 200 && status != 201) return ToldState::kNoAnswer;
+  try {
+    const std::string mood = TextOf(wire::ParseObject(body), "mood");
+    if (mood == wire::kDone) return ToldState::kDone;
+    if (mood == wire::kCancelled) return ToldState::kCancelled;
+    if (mood == wire::kQueued || mood == wire::kRunning) return ToldState::kLive;
+  } catch (const BadMessage&) {
+  }
+  return ToldState::kNoAnswer;
+}
+
+}  // namespace magpie::scale
--- /dev/null
+++ b/src/scale/history.h
@@ -0,0 +1,70 @@
+// What users and workers of a scale run saw, in the order in which it happened. All of it
+// is seen in one process, so one steady clock orders it.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "core/types.h"
+
+namespace magpie::scale {
+
+// A machine is up: its worker begins.
+struct MachineUp {
+  MachineId machine;
+  std::string type;
+  std::string zone;
+  bool spot = false;
+};
+
+// A task has its image and takes its place on the machine.
+struct TaskBegan {
+  MachineId machine;
+  TaskId task;
+};
+
+// A task is not on the machine any more.
+struct TaskLeft {
+  MachineId machine;
+  TaskId task;
+  bool completed = false;
+};
+
+// The first attempt to submit a job.
+struct JobSubmitted {
+  JobSpec spec;
+};
+
+// What an answer says of a job.
+enum class ToldState : std::uint8_t {
+  kLive,  // queued or running
+  kDone,
+  kCancelled,
+  kUnknown,   // 404
+  kRefused,   // 400 or 422, to a submission
+  kNoAnswer,  // any other status, or none in time
+};
+
+enum class UserRequest : std::uint8_t { kSubmit, kPoll, kCancel };
+
+// A user's request and the answer to it.
+struct UserTold {
+  JobId job;
+  UserRequest request = UserRequest::kPoll;
+  ToldState state = ToldState::kNoAnswer;
+  Instant sent;  // when the request was
+};
+
+// The first attempt to cancel a job.
+struct CancelAsked {
+  JobId job;
+};
+
+struct Event {
+  Instant at;
+  std::variant<MachineUp, TaskBegan, TaskLeft, JobSubmitted, UserTold, CancelAsked> what;
+};
+
+}  // namespace magpie::scale
--- a/src/scale/hollow_worker.cc
+++ b/src/scale/hollow_worker.cc
@@ -16,7 +16,7 @@
       observer_(observer),
       random_(static_cast<std::minstd_rand::result_type>(options.seed * 7919 + 1)),
       core_(
-          std::move(options.agent), {},
+          std::move(options.agent), std::move(options.memory),
           [this] { return std::uniform_real_distribution<double>(0, 1)(random_); }, now) {}
 
 std::optional<agent::Worker::Outgoing> HollowWorker::NextReport(Instant now) {
--- a/src/scale/hollow_worker.h
+++ b/src/scale/hollow_worker.h
@@ -33,6 +33,7 @@
  public:
   struct Options {
     agent::Worker::Options agent;
+    agent::Worker::Memory memory;  // of the worker that was there before
     double fetch_gb_per_s = 1;
     std::uint64_t seed = 0;
   };
--- /dev/null
+++ b/src/scale/rate_limit.h
@@ -0,0 +1,33 @@
+// A rate with bursts worth some seconds of it, as the state service and the cloud have.
+#pragma once
+
+#include <algorithm>
+
+#include "core/types.h"
+
+namespace magpie::scale {
+
+class RateLimit {
+ public:
+  // 0 a second: no limit.
+  RateLimit(double a_second, Seconds burst)
+      : a_second_(a_second), most_(std::max(1.0, a_second * burst.v)), left_(most_) {}
+
+  // Takes that many if all of them may go now.
+  bool Take(double count, Instant now) {
+    if (a_second_ <= 0) return true;
+    left_ = std::min(most_, left_ + a_second_ * std::max(0.0, (now - refilled_).v));
+    refilled_ = now;
+    if (left_ < count) return false;
+    left_ -= count;
+    return true;
+  }
+
+ private:
+  double a_second_;
+  double most_;
+  double left_;
+  Instant refilled_;
+};
+
+}  // namespace magpie::scale
--- /dev/null
+++ b/src/scale/state_service.cc
@@ -0,0 +1,180 @@
+#include "scale/state_service.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace magpie::scale {
+namespace {
+
+constexpr Seconds kBurst{1};
+constexpr std::size_t kLongestKey = 200;
+constexpr std::size_t kMostEntries = 1000;
+constexpr std::size_t kMostRangeBytes = 512UL * 1024;
+constexpr std::size_t kMostTransactionBytes = 64UL * 1024;
+constexpr std::size_t kConditionsForOperation = 4;
+constexpr std::size_t kOverhead = 40;  // bytes of an operation beside its key and value
+constexpr Seconds kShortestLife{0.1};
+constexpr Seconds kLongestLife{600};
+
+bool IsKey(const std::string& key) {
+  return !key.empty() && key.size() <= kLongestKey && key.find(' ') == std::string::npos;
+}
+
+}  // namespace
+
+StateService::StateService(Options options)
+    : options_(options),
+      requests_(options.requests_a_second, kBurst),
+      writes_(options.writes_a_second, kBurst) {}
+
+std::optional<StateEntry> StateService::Get(const std::string& key, Instant now) {
+  Expire(now);
+  const auto it = keys_.find(key);
+  if (it == keys_.end()) return std::nullopt;
+  return StateEntry{key, it->second.value, it->second.stamp, it->second.lease};
+}
+
+StateRange StateService::Range(const std::string& prefix, const std::string& after,
+                               std::size_t page, Instant now) {
+  Expire(now);
+  StateRange range;
+  range.tick = tick_;
+  std::size_t bytes = 0;
+  const std::size_t most = std::min(page, kMostEntries);
+  auto it = after < prefix ? keys_.lower_bound(prefix) : keys_.upper_bound(after);
+  for (; it != keys_.end() && it->first.starts_with(prefix); ++it) {
+    bytes += it->first.size() + it->second.value.dump().size() + kOverhead;
+    const bool full = range.entries.size() == most || bytes > kMostRangeBytes;
+    if (full && !range.entries.empty()) {
+      range.more = true;
+      break;
+    }
+    range.entries.push_back({it->first, it->second.value, it->second.stamp, it->second.lease});
+  }
+  return range;
+}
+
+// What is wrong with the transaction whatever the conditions; null: nothing.
+const char* StateService::Fault(const Transaction& transaction) const {
+  if (transaction.apply.size() > options_.most_operations) return "too many operations";
+  if (transaction.when.size() > kConditionsForOperation * options_.most_operations)
+    return "too many conditions";
+  std::size_t bytes = 0;
+  for (const Condition& condition : transaction.when) {
+    if (!IsKey(condition.key)) return "bad key";
+    bytes += condition.key.size() + kOverhead;
+  }
+  for (const Change& change : transaction.apply) {
+    if (!IsKey(change.key)) return "bad key";
+    bytes += change.key.size() + kOverhead;
+    if (!change.value) continue;
+    const std::size_t size = change.value->dump().size();
+    constexpr double kKilo = 1024;
+    if (static_cast<double>(size) > kKilo * options_.value_kb) return "value too large";
+    bytes += size;
+    if (change.lease && !leases_.contains(*change.lease)) return "no such lease";
+  }
+  return bytes > kMostTransactionBytes ? "transaction too large" : nullptr;
+}
+
+StateCommit StateService::Commit(const Transaction& transaction, Instant now) {
+  Expire(now);
+  // Those whose conditions fail count as well.
+  if (!writes_.Take(static_cast<double>(transaction.apply.size()), now))
+    return {StateStatus::kOverRate, tick_, {}, "rate"};
+  if (const char* fault = Fault(transaction)) return {StateStatus::kBad, tick_, {}, fault};
+  StateCommit result;
+  for (const Condition& condition : transaction.when) {
+    const auto it = keys_.find(condition.key);
+    const Stamp there = it == keys_.end() ? Stamp{} : it->second.stamp;
+    if (there != condition.stamp) result.failed.push_back(condition.key);
+  }
+  if (result.failed.empty()) {
+    if (!transaction.apply.empty()) ++tick_.v;
+    for (const Change& change : transaction.apply) Apply(change);
+  } else {
+    result.status = StateStatus::kConflict;
+  }
+  result.tick = tick_;
+  return result;
+}
+
+void StateService::Apply(const Change& change) {
+  if (change.value) {
+    keys_[change.key] = {*change.value, tick_, change.lease};
+  } else if (keys_.erase(change.key) == 0) {
+    return;
+  }
+  Append({change.key, change.value, tick_});
+}
+
+void StateService::Append(WatchEvent event) {
+  log_.push_back(std::move(event));
+  while (log_.size() > options_.kept_changes) {
+    forgotten_ = log_.front().stamp;
+    log_.pop_front();
+  }
+}
+
+LeaseId StateService::Grant(Seconds life, Instant now) {
+  Expire(now);
+  if (life < kShortestLife || life > kLongestLife) return {};
+  const LeaseId lease{++last_lease_};
+  leases_[lease] = {life, now + life};
+  return lease;
+}
+
+StateStatus StateService::Touch(LeaseId lease, Instant now) {
+  Expire(now);
+  const auto it = leases_.find(lease);
+  if (it == leases_.end()) return StateStatus::kAbsent;
+  it->second.ends = now + it->second.life;
+  return StateStatus::kOk;
+}
+
+StateStatus StateService::End(LeaseId lease, Instant now) {
+  Expire(now);
+  if (leases_.erase(lease) == 0) return StateStatus::kAbsent;
+  DropKeysOf(lease);
+  return StateStatus::kOk;
+}
+
+StateLog StateService::Changes(const std::string& prefix, Stamp after, Instant now) {
+  Expire(now);
+  StateLog log;
+  log.tick = tick_;
+  if (after < forgotten_) {
+    log.status = StateStatus::kTooOld;
+    return log;
+  }
+  auto it = std::upper_bound(log_.begin(), log_.end(), after,
+                             [](Stamp stamp, const WatchEvent& e) { return stamp < e.stamp; });
+  for (; it != log_.end(); ++it)
+    if (it->key.starts_with(prefix)) log.events.push_back(*it);
+  return log;
+}
+
+void StateService::Expire(Instant now) {
+  std::vector<LeaseId> over;
+  for (const auto& [id, lease] : leases_)
+    if (lease.ends < now) over.push_back(id);
+  for (const LeaseId id : over) {
+    leases_.erase(id);
+    DropKeysOf(id);
+  }
+}
+
+void StateService::EndOutage(Instant now) {
+  for (auto& [id, lease] : leases_) lease.ends = now + lease.life;
+}
+
+void StateService::DropKeysOf(LeaseId lease) {
+  std::vector<std::string> attached;
+  for (const auto& [key, held] : keys_)
+    if (held.lease == lease) attached.push_back(key);
+  if (attached.empty()) return;
+  ++tick_.v;
+  for (const std::string& key : attached) Apply({key, std::nullopt, std::nullopt});
+}
+
+}  // namespace magpie::scale
--- /dev/null
+++ b/tests/scale_stand_ins_test.cc
@@ -0,0 +1,262 @@
+// The stand-in state service and cloud, by PROTOCOL's sentences.
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "scale/cloud.h"
+#include "scale/codec.h"
+#include "scale/state_service.h"
+#include "state/http_store.h"
+
+namespace magpie::scale {
+namespace {
+
+std::string Numbered(const char* text, int number) {
+  std::string name = text;
+  return name.append(std::to_string(number));
+}
+
+class StateStory : public ::testing::Test {
+ protected:
+  static StateService::Options DefaultOptions() {
+    StateService::Options options;
+    options.requests_a_second = 1e6;
+    options.writes_a_second = 1e6;
+    options.kept_changes = 5;
+    return options;
+  }
+  static Change Put(const std::string& key, int value, std::optional<LeaseId> lease = {}) {
+    return {key, Json(value), lease};
+  }
+  StateCommit Commit(std::vector<Condition> when, std::vector<Change> apply) {
+    return service.Commit({std::move(when), std::move(apply)}, now);
+  }
+  std::string KeysUnder(const std::string& prefix, const std::string& after = "",
+                        std::size_t page = 100) {
+    const StateRange range = service.Range(prefix, after, page, now);
+    std::string keys;
+    for (const StateEntry& entry : range.entries) keys += entry.key + " ";
+    return keys + (range.more ? "and more" : "");
+  }
+
+  Instant now{100};
+  StateService service{DefaultOptions()};
+};
+
+TEST_F(StateStory, ATransactionIsWholeAndHasOneRevision) {
+  const StateCommit first = Commit({{"a", {0}}}, {Put("a", 1), Put("b", 2)});
+  ASSERT_EQ(first.status, StateStatus::kOk);
+  EXPECT_EQ(service.Get("a", now)->stamp, first.tick);
+  EXPECT_EQ(service.Get("b", now)->stamp, first.tick);
+  const StateCommit second = Commit({{"a", {0}}, {"b", first.tick}}, {Put("b", 3)});
+  EXPECT_EQ(second.status, StateStatus::kConflict);
+  EXPECT_EQ(second.failed, std::vector<std::string>{"a"});
+  EXPECT_EQ(service.Get("b", now)->value, Json(2));
+  EXPECT_EQ(Commit({{"a", first.tick}}, {}).tick, first.tick) << "comparing changes nothing";
+  EXPECT_EQ(Commit({{"a", first.tick}}, {{"a", {}, {}}}).status, StateStatus::kOk);
+  EXPECT_FALSE(service.Get("a", now));
+}
+
+TEST_F(StateStory, RangesArePagesInTheOrderOfKeys) {
+  Commit({}, {Put("c/2", 1), Put("c/1", 1), Put("c/3", 1), Put("d/1", 1)});
+  EXPECT_EQ(KeysUnder("c/"), "c/1 c/2 c/3 ");
+  EXPECT_EQ(KeysUnder("c/", "", 2), "c/1 c/2 and more");
+  EXPECT_EQ(KeysUnder("c/", "c/2"), "c/3 ");
+  EXPECT_EQ(KeysUnder("", "c/3"), "d/1 ");
+}
+
+TEST_F(StateStory, LeasesTakeTheirKeysAlong) {
+  const LeaseId lease = service.Grant({5}, now);
+  Commit({}, {Put("a", 1, lease), Put("b", 1, lease), Put("c", 1)});
+  Commit({}, {Put("b", 2)});  // without the lease it is detached
+  now = now + Seconds{4};
+  EXPECT_EQ(service.Touch(lease, now), StateStatus::kOk);
+  now = now + Seconds{5};
+  EXPECT_TRUE(service.Get("a", now)) << "never early";
+  now = now + Seconds{0.1};
+  EXPECT_FALSE(service.Get("a", now));
+  EXPECT_TRUE(service.Get("b", now));
+  EXPECT_EQ(service.Touch(lease, now), StateStatus::kAbsent);
+  const StateCommit late = Commit({}, {Put("a", 1, lease)});
+  EXPECT_EQ(late.status, StateStatus::kBad);
+  EXPECT_STREQ(late.error, "no such lease");
+  const LeaseId second = service.Grant({5}, now);
+  Commit({}, {Put("d", 1, second)});
+  EXPECT_EQ(service.End(second, now), StateStatus::kOk);
+  EXPECT_FALSE(service.Get("d", now));
+}
+
+TEST_F(StateStory, AfterAnOutageLeasesHaveTheirFullTime) {
+  const LeaseId lease = service.Grant({5}, now);
+  now = now + Seconds{60};
+  service.EndOutage(now);
+  now = now + Seconds{4.9};
+  EXPECT_EQ(service.Touch(lease, now), StateStatus::kOk);
+}
+
+TEST_F(StateStory, WatchesTellWhatChangedAndWhatIsTooOld) {
+  const Stamp begin = service.tick();
+  Commit({}, {Put("a/1", 1), Put("b/1", 1)});
+  Commit({}, {{"a/1", {}, {}}});
+  const StateLog log = service.Changes("a/", begin, now);
+  ASSERT_EQ(log.events.size(), 2U);
+  EXPECT_TRUE(log.events[0].value);
+  EXPECT_FALSE(log.events[1].value);
+  EXPECT_EQ(log.tick, service.tick());
+  EXPECT_TRUE(service.Changes("a/", service.tick(), now).events.empty());
+  for (int i = 0; i < 4; ++i) Commit({}, {Put("b/2", i)});
+  EXPECT_EQ(service.Changes("a/", begin, now).status, StateStatus::kTooOld);
+  EXPECT_EQ(service.Changes("b/", service.tick(), now).status, StateStatus::kOk);
+}
+
+TEST_F(StateStory, WhatIsTooMuchIsRefused) {
+  const std::string large(17 * 1024, 'x');
+  const std::string long_key(201, 'k');
+  std::vector<Change> many;
+  std::vector<Condition> conditions;
+  for (int i = 0; i < 17; ++i) many.push_back(Put(Numbered("k", i), 1));
+  for (int i = 0; i < 65; ++i) conditions.push_back({Numbered("k", i), {0}});
+  std::vector<Change> heavy;
+  for (int i = 0; i < 5; ++i)
+    heavy.push_back({Numbered("h", i), Json(std::string(14 * 1024, 'x')), {}});
+  const std::vector<std::pair<const char*, Transaction>> bad = {
+      {"operations", {{}, many}},
+      {"conditions", {conditions, {}}},
+      {"a value", {{}, {{"a", Json(large), {}}}}},
+      {"all of it", {{}, heavy}},
+      {"a key", {{}, {Put(long_key, 1)}}},
+      {"a key with a space", {{}, {Put("a b", 1)}}},
+  };
+  for (const auto& [what, transaction] : bad)
+    EXPECT_EQ(service.Commit(transaction, now).status, StateStatus::kBad) << what;
+}
+
+TEST_F(StateStory, RatesAllowABurstOfASecond) {
+  StateService::Options options = DefaultOptions();
+  options.requests_a_second = 10;
+  options.writes_a_second = 4;
+  StateService limited(options);
+  int admitted = 0;
+  for (int i = 0; i < 20; ++i) admitted += limited.Admit(now) ? 1 : 0;
+  EXPECT_EQ(admitted, 10);
+  const Transaction one{{{"a", {77}}}, {Put("a", 1)}};
+  for (int i = 0; i < 4; ++i)
+    EXPECT_EQ(limited.Commit(one, now).status, StateStatus::kConflict) << "they count as well";
+  EXPECT_EQ(limited.Commit(one, now).status, StateStatus::kOverRate);
+  now = now + Seconds{0.25};
+  EXPECT_EQ(limited.Commit(one, now).status, StateStatus::kConflict);
+}
+
+// What the controllers' client writes is what the stand-in reads.
+TEST(ScaleCodec, TransactionsComeThrough) {
+  const Transaction sent{{{"a", {4}}}, {{"b", Json{{"x", 1}}, LeaseId{7}}, {"c", {}, {}}}};
+  const Transaction read = TransactionFromJson(TransactionToJson(sent));
+  ASSERT_EQ(read.when.size(), 1U);
+  EXPECT_EQ(read.when[0].stamp, Stamp{4});
+  ASSERT_EQ(read.apply.size(), 2U);
+  EXPECT_EQ(read.apply[0].value, sent.apply[0].value);
+  EXPECT_EQ(read.apply[0].lease, sent.apply[0].lease);
+  EXPECT_FALSE(read.apply[1].value);
+}
+
+TEST(ScaleCodec, WhatIsNoMessageIsRefused) {
+  EXPECT_THROW(TransactionFromJson(Json{{"when", 1}}), wire::BadMessage);
+  EXPECT_THROW(TransactionFromJson(Json{{"apply", {{{"put", "a"}}}}}), wire::BadMessage);
+  EXPECT_THROW(LeaseLifeFromJson(Json{{"life_ms", "x"}}), wire::BadMessage);
+  EXPECT_THROW(QueryCount("/kv?page=x", "page"), wire::BadMessage);
+}
+
+TEST(ScaleCodec, QueriesAndAnswers) {
+  EXPECT_EQ(QueryField("/kv?under=c/&after=c/7&page=5", "after"), "c/7");
+  EXPECT_EQ(QueryCount("/kv?under=c/&page=5", "page"), 5U);
+  EXPECT_FALSE(QueryField("/kv", "page"));
+  EXPECT_EQ(ToldByAnswer(200, R"({"mood":"done"})"), ToldState::kDone);
+  EXPECT_EQ(ToldByAnswer(201, R"({"mood":"queued"})"), ToldState::kLive);
+  EXPECT_EQ(ToldByAnswer(200, "nonsense"), ToldState::kNoAnswer);
+  EXPECT_EQ(ToldByAnswer(404, ""), ToldState::kUnknown);
+  EXPECT_EQ(ToldByAnswer(422, ""), ToldState::kRefused);
+  EXPECT_EQ(ToldByAnswer(503, ""), ToldState::kNoAnswer);
+  EXPECT_EQ(AnswerFromReply(200, R"({"crest":5,"calls":[]})").token, Token{5});
+  EXPECT_EQ(AnswerFromReply(421, R"({"home_roost":"n1"})").home, "n1");
+  EXPECT_EQ(AnswerFromReply(503, "{}").kind, agent::Answer::Kind::kFailed);
+}
+
+class CloudStory : public ::testing::Test {
+ protected:
+  Cloud::Options Options() {
+    Cloud::Options options;
+    options.types = {{"plain", {8, 0, 32}, 10, 1, 1, 0.4, {10}, {"a", "b"}}};
+    options.most_machines = 4;
+    options.list_lag = {3};
+    return options;
+  }
+  Cloud::Hooks Hooks() {
+    return {[this](const CloudMachine& machine) {
+              Tell("rented ", machine.id);
+              return "127.0.0.1:9";
+            },
+            [this](const MachineId& id) { Tell("up ", id); },
+            [this](const MachineId& id) { Tell("released ", id); }};
+  }
+  void Tell(const char* what, const MachineId& machine) {
+    told.append(what).append(machine.v).append(", ");
+  }
+  RentalResult Rent(const std::string& name, std::uint32_t count, const std::string& zone = "a") {
+    return cloud.Rent({name, "plain", zone, false, count}, now);
+  }
+  void Pass(double seconds) {
+    for (const Instant end = now + Seconds{seconds}; now < end;) {
+      now = now + Seconds{0.5};
+      cloud.Advance(now);
+    }
+  }
+  // Names of what is listed, with their moods' first letters.
+  std::string Listed() {
+    std::string text;
+    for (const ListedMachine& machine : cloud.ListAfter({}, 500, now).machines)
+      text.append(machine.id.v).append(1, "srf"[static_cast<int>(machine.mood)]).append(" ");
+    return text;
+  }
+
+  std::string told;
+  Instant now{100};
+  Cloud cloud{Options(), Hooks()};
+};
+
+TEST_F(CloudStory, ANameRentsOnce) {
+  const RentalResult first = Rent("r-1", 2);
+  EXPECT_EQ(first.machines.size(), 2U);
+  EXPECT_EQ(Rent("r-1", 2).machines, first.machines);
+  EXPECT_EQ(cloud.machines(), 2U);
+  EXPECT_EQ(Rent("r-2", 3).machines.size(), 2U) << "up to what there is";
+  EXPECT_EQ(Rent("r-3", 1).status, CloudStatus::kNoCapacity);
+  cloud.Release({first.machines[0], {"vm-none"}});
+  EXPECT_EQ(Rent("r-3", 1).status, CloudStatus::kOk) << "a refused name may be sent again";
+  EXPECT_EQ(Rent("r-4", 1, "c").status, CloudStatus::kBad);
+  EXPECT_EQ(Rent("r-5", 51).status, CloudStatus::kBad);
+}
+
+TEST_F(CloudStory, MachinesBootFailAndGoAndTheListLags) {
+  Rent("r-1", 1);
+  EXPECT_EQ(told, "rented vm-000001, ");
+  EXPECT_EQ(Listed(), "");
+  Pass(4.5);
+  EXPECT_EQ(Listed(), "vm-000001s ");
+  Pass(20);
+  EXPECT_EQ(told, "rented vm-000001, up vm-000001, ");
+  EXPECT_EQ(Listed(), "vm-000001r ");
+  cloud.Fail({"vm-000001"}, now);
+  Pass(25);
+  EXPECT_EQ(Listed(), "vm-000001r ") << "a dead one stays listed as running for a while";
+  Pass(10);
+  EXPECT_EQ(Listed(), "vm-000001f ");
+  cloud.Release({{"vm-000001"}});
+  EXPECT_TRUE(told.ends_with("released vm-000001, "));
+  EXPECT_EQ(Listed(), "vm-000001f ") << "it lags";
+  Pass(5);
+  EXPECT_EQ(Listed(), "");
+}
+
+}  // namespace
+}  // namespace magpie::scale
