magpie_scale: real controllers among hollow workers, users and stand-ins

Asio and Beast are known to event_loop.cc alone.

Missing: real workers beside the hollow ones (there is no worker program yet).

--- /dev/null
+++ b/src/scale/cloud_server.cc
@@ -0,0 +1,79 @@
+#include "scale/cloud_server.h"
+
+#include "scale/codec.h"
+#include "wire/codec.h"
+
+namespace magpie::scale {
+namespace {
+
+constexpr Seconds kTick{0.25};
+constexpr Seconds kLatency{0.02};
+
+HttpReply Refusal(int status, const char* error) { return {status, Json{{"error", error}}.dump()}; }
+
+}  // namespace
+
+CloudServer::CloudServer(EventLoop& loop, Cloud& cloud)
+    : loop_(loop), cloud_(cloud), tick_(loop.MakeTimer([this] { Tick(); })) {
+  tick_->Set(EventLoop::Now() + kTick);
+}
+
+std::optional<Address> CloudServer::Serve() {
+  listener_ = loop_.Listen(
+      {"127.0.0.1", 0},
+      [this](const HttpCall& call, EventLoop::ReplyTo reply) {
+        loop_.After(kLatency, [this, call, reply] { reply(Answer(call)); });
+      },
+      traffic_);
+  if (!listener_) return std::nullopt;
+  return listener_->address();
+}
+
+void CloudServer::Tick() {
+  const Instant now = EventLoop::Now();
+  tick_->Set(now + kTick);
+  cloud_.Advance(now);
+}
+
+HttpReply CloudServer::Answer(const HttpCall& call) {
+  ++counts_.requests;
+  if (!cloud_.Admit(EventLoop::Now())) {
+    ++counts_.over_rate;
+    return Refusal(429, "rate");
+  }
+  const std::string path = PathOf(call.target);
+  try {
+    if (path == wire::kTypesPath) return {200, TypesToJson(cloud_.types()).dump()};
+    if (path == wire::kReleasePath) return Release(call);
+    if (path == wire::kMachinesPath) return call.method == "POST" ? Rent(call) : List(call);
+  } catch (const wire::BadMessage& e) {
+    return Refusal(400, e.what());
+  }
+  return Refusal(404, "no such path");
+}
+
+HttpReply CloudServer::Rent(const HttpCall& call) {
+  const RentalResult result =
+      cloud_.Rent(RentalFromJson(wire::ParseObject(call.body)), EventLoop::Now());
+  if (result.status == CloudStatus::kNoCapacity) return Refusal(503, "no capacity");
+  if (result.status != CloudStatus::kOk) return Refusal(400, "malformed");
+  counts_.rented += result.machines.size();
+  return {200, wire::MachineIdsToJson(result.machines).dump()};
+}
+
+HttpReply CloudServer::Release(const HttpCall& call) {
+  const std::vector<MachineId> machines = wire::MachineIdsFromJson(wire::ParseObject(call.body));
+  if (cloud_.Release(machines) != CloudStatus::kOk) return Refusal(400, "too many");
+  counts_.released += machines.size();
+  return {200, "{}"};
+}
+
+HttpReply CloudServer::List(const HttpCall& call) {
+  constexpr std::uint64_t kPage = 500;
+  const Cloud::List list =
+      cloud_.ListAfter({QueryField(call.target, "after").value_or("")},
+                       QueryCount(call.target, "page").value_or(kPage), EventLoop::Now());
+  return {200, MachinesToJson(list.machines, list.more).dump()};
+}
+
+}  // namespace magpie::scale
--- /dev/null
+++ b/src/scale/cloud_server.h
@@ -0,0 +1,44 @@
+// The stand-in cloud over HTTP.
+#pragma once
+
+#include <memory>
+#include <optional>
+
+#include "scale/cloud.h"
+#include "scale/event_loop.h"
+
+namespace magpie::scale {
+
+class CloudServer {
+ public:
+  struct Counts {
+    std::uint64_t requests = 0;
+    std::uint64_t over_rate = 0;
+    std::uint64_t rented = 0;
+    std::uint64_t released = 0;
+  };
+
+  // The cloud must outlive it, and is used on the loop's thread alone from now on.
+  CloudServer(EventLoop& loop, Cloud& cloud);
+
+  // None: it can't listen.
+  std::optional<Address> Serve();
+  const Counts& counts() const { return counts_; }
+  const Traffic& traffic() const { return traffic_; }
+
+ private:
+  HttpReply Answer(const HttpCall& call);
+  HttpReply Rent(const HttpCall& call);
+  HttpReply Release(const HttpCall& call);
+  HttpReply List(const HttpCall& call);
+  void Tick();
+
+  EventLoop& loop_;
+  Cloud& cloud_;
+  std::unique_ptr<EventLoop::Listener> listener_;
+  Traffic traffic_;
+  std::unique_ptr<EventLoop::Timer> tick_;
+  Counts counts_;
+};
+
+}  // namespace magpie::scale
--- /dev/null
+++ b/src/scale/controller_process.cc
@@ -0,0 +1,182 @@
+#include "scale/controller_process.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <sstream>
+
+extern char** environ;
+
+namespace magpie::scale {
+namespace {
+
+std::string Quoted(const std::string& text) {
+  std::string quoted = "\"";
+  for (const char c : text) {
+    if (c == '"' || c == '\\') quoted += '\\';
+    quoted += c;
+  }
+  return quoted + "\"";
+}
+
+std::string TextOf(const Address& address) {
+  return address.host + ":" + std::to_string(address.port);
+}
+
+// A field of /proc/<pid>/status in its own unit; 0 when it is not there.
+double StatusField(const std::string& status, const std::string& name) {
+  const auto at = status.find("\n" + name + ":");
+  if (at == std::string::npos) return 0;
+  return std::strtod(status.c_str() + at + name.size() + 2, nullptr);
+}
+
+std::string ReadFile(const std::string& path) {
+  const std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+}  // namespace
+
+std::optional<ProcessUsage> UsageOf(pid_t pid) {
+  const std::string folder = "/proc/" + std::to_string(pid);
+  const std::string stat = ReadFile(folder + "/stat");
+  // The name in parentheses may hold anything; the numbers come after it.
+  const auto name_end = stat.rfind(')');
+  if (name_end == std::string::npos) return std::nullopt;
+  std::istringstream fields(stat.substr(name_end + 2));
+  std::string skipped;
+  constexpr int kBeforeTimes = 11;  // state to the major faults of children
+  for (int i = 0; i < kBeforeTimes; ++i) fields >> skipped;
+  double user = 0;
+  double system = 0;
+  if (!(fields >> user >> system)) return std::nullopt;
+  const std::string status = ReadFile(folder + "/status");
+  constexpr double kMegaPerKibi = 1024 / 1e6;
+  return ProcessUsage{(user + system) / static_cast<double>(sysconf(_SC_CLK_TCK)),
+                      StatusField(status, "VmRSS") * kMegaPerKibi,
+                      StatusField(status, "VmHWM") * kMegaPerKibi};
+}
+
+ReservedPort::ReservedPort() : socket_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t length = sizeof address;
+  if (bind(socket_, reinterpret_cast<sockaddr*>(&address), length) == 0 &&
+      getsockname(socket_, reinterpret_cast<sockaddr*>(&address), &length) == 0)
+    port_ = ntohs(address.sin_port);
+}
+
+ReservedPort::~ReservedPort() { GiveUp(); }
+
+void ReservedPort::GiveUp() {
+  if (socket_ >= 0) close(socket_);
+  socket_ = -1;
+}
+
+std::string SettingsText(const Scenario& scenario, const std::vector<ControllerPlan>& all,
+                         std::size_t which) {
+  const ControllerPlan& self = all.at(which);
+  std::ostringstream out;
+  out << "label = " << Quoted(self.label) << "\nsite = " << Quoted(self.zone)
+      << "\napi_addr = " << Quoted(TextOf(self.api))
+      << "\nmesh_addr = " << Quoted(TextOf(self.mesh)) << "\n";
+  for (std::size_t i = 0; i < all.size(); ++i) {
+    if (i == which) continue;
+    out << "\n[[members]]\nlabel = " << Quoted(all[i].label) << "\nsite = " << Quoted(all[i].zone)
+        << "\nendpoint = " << Quoted(TextOf(all[i].mesh)) << "\n";
+  }
+  out << "\n[endpoints]\ncloud = " << Quoted(TextOf(self.cloud))
+      << "\nstate = " << Quoted(TextOf(self.state)) << "\n";
+  out << "\n[cluster]\ncount = " << all.size() << "\nzones = [";
+  for (const std::string& zone : scenario.zones) out << Quoted(zone) << ", ";
+  out << "]\nskew_ms = 10.0\n";
+  for (const Team& team : scenario.teams)
+    out << "\n[[cluster.teams]]\nname = " << Quoted(team.name) << "\ncpus = " << team.cpus
+        << "\ncpus_max = " << team.cpus_max << "\ngpus = " << team.gpus
+        << "\ngpus_max = " << team.gpus_max << "\n";
+  for (const Objective& objective : scenario.objectives)
+    out << "\n[[cluster.objectives]]\nkind = " << Quoted(objective.kind)
+        << "\nclass = " << Quoted(objective.job_class) << "\nwithin_s = " << objective.within.v
+        << "\nshare = " << objective.share << "\ntimes = " << objective.times << "\n";
+  out << "\n[cluster.workers]\nreport_s = " << scenario.report.v
+      << "\nlease_s = " << scenario.lease.v
+      << "\ngang_wait_s = 40.0\ngang_peer_s = 6.0\ncancel_s = " << scenario.cancel.v << "\n";
+  const StateService::Options& state = scenario.state.service;
+  out << "\n[cluster.state]\nrps = " << state.requests_a_second
+      << "\nwrite_rps = " << state.writes_a_second << "\nvalue_kb = " << state.value_kb
+      << "\ntxn_ops = " << state.most_operations << "\n";
+  out << "\n[cluster.cloud]\nrps = " << scenario.cloud.requests_a_second
+      << "\nlist_lag_s = " << scenario.cloud.list_lag.v << "\n";
+  out << "\n[cluster.resources]\ncores = 1.0\nsockets = " << scenario.controllers.sockets << "\n";
+  if (scenario.controllers.memory_mb > 0)
+    out << "mem_mb = " << scenario.controllers.memory_mb << "\n";
+  return out.str();
+}
+
+ControllerProcess::ControllerProcess(std::vector<std::string> command, std::string log)
+    : command_(std::move(command)), log_(std::move(log)) {}
+
+ControllerProcess::~ControllerProcess() { Kill(); }
+
+bool ControllerProcess::Start() {
+  std::vector<char*> arguments;
+  for (std::string& argument : command_) arguments.push_back(argument.data());
+  arguments.push_back(nullptr);
+  posix_spawn_file_actions_t files;
+  posix_spawn_file_actions_init(&files);
+  constexpr mode_t kMode = 0644;
+  posix_spawn_file_actions_addopen(&files, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
+  posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, "/dev/null", O_WRONLY, 0);
+  posix_spawn_file_actions_addopen(&files, STDERR_FILENO, log_.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, kMode);
+  const int failed = posix_spawn(&pid_, arguments[0], &files, nullptr, arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&files);
+  if (failed != 0) pid_ = 0;
+  return failed == 0;
+}
+
+void ControllerProcess::Kill() {
+  if (pid_ == 0) return;
+  earlier_cpu_s_ = cpu_s();
+  last_cpu_s_ = 0;
+  kill(pid_, SIGKILL);
+  waitpid(pid_, nullptr, 0);
+  pid_ = 0;
+}
+
+bool ControllerProcess::running() {
+  if (pid_ == 0) return false;
+  if (const auto usage = UsageOf(pid_)) last_cpu_s_ = usage->cpu_s;
+  if (waitpid(pid_, nullptr, WNOHANG) == 0) return true;
+  earlier_cpu_s_ += last_cpu_s_;
+  last_cpu_s_ = 0;
+  pid_ = 0;
+  return false;
+}
+
+double ControllerProcess::cpu_s() const {
+  if (pid_ == 0) return earlier_cpu_s_;
+  const auto usage = UsageOf(pid_);
+  return earlier_cpu_s_ + (usage ? usage->cpu_s : last_cpu_s_);
+}
+
+std::string ControllerProcess::last_words() const {
+  std::ifstream file(log_);
+  std::string line;
+  std::string last;
+  while (std::getline(file, line))
+    if (!line.empty()) last = line;
+  return last.empty() ? last : std::string(": ").append(last);
+}
+
+}  // namespace magpie::scale
--- /dev/null
+++ b/src/scale/event_loop.cc
@@ -0,0 +1,325 @@
+#include "scale/event_loop.h"
+
+#include <chrono>
+#include <optional>
+#include <set>
+#include <utility>
+
+// Boost 1.74 uses std::exchange without including it, so <utility> comes first.
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+namespace magpie::scale {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::use_awaitable;
+using asio::ip::tcp;
+using Executor = asio::io_context::executor_type;
+
+constexpr unsigned kHttp11 = 11;
+constexpr std::uint64_t kMostBody = 8UL * 1024 * 1024;  // answers to watches have no limit
+constexpr Seconds kIdle{600};                           // of a connection between requests
+constexpr Seconds kLongestReply{90};                    // then a connection without one is closed
+
+std::chrono::nanoseconds DurationOf(Seconds s) {
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::duration<double>(s.v));
+}
+
+tcp::endpoint EndpointOf(const Address& address) {
+  return {asio::ip::make_address(address.host), static_cast<std::uint16_t>(address.port)};
+}
+
+class AsioTimer : public EventLoop::Timer {
+ public:
+  AsioTimer(asio::io_context& io, std::function<void()> due)
+      : state_(std::make_shared<State>(io, std::move(due))) {}
+  ~AsioTimer() override {
+    state_->alive = false;
+    state_->timer.cancel();
+  }
+  void Set(Instant at) override {
+    if (state_->set && state_->at == at) return;
+    state_->at = at;
+    state_->set = true;
+    state_->timer.expires_at(std::chrono::steady_clock::time_point(
+        std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+            std::chrono::duration<double>(at.v))));
+    state_->timer.async_wait([state = state_](const boost::system::error_code& error) {
+      if (error || !state->alive) return;
+      state->set = false;
+      state->due();
+    });
+  }
+
+ private:
+  struct State {
+    State(asio::io_context& io, std::function<void()> call) : timer(io), due(std::move(call)) {}
+    asio::steady_timer timer;
+    std::function<void()> due;
+    Instant at;
+    bool set = false;
+    bool alive = true;
+  };
+  std::shared_ptr<State> state_;
+};
+
+// A reply that may come while the connection waits for it, or later.
+struct PendingReply {
+  explicit PendingReply(const asio::any_io_executor& executor) : wake(executor) {
+    wake.expires_after(DurationOf(kLongestReply));
+  }
+  asio::steady_timer wake;
+  std::optional<HttpReply> reply;
+};
+
+class AsioListener : public EventLoop::Listener {
+ public:
+  AsioListener(asio::io_context& io, const tcp::endpoint& endpoint, EventLoop::Handler handler,
+               Traffic& traffic)
+      : state_(std::make_shared<State>(io, endpoint, std::move(handler), traffic)) {
+    asio::co_spawn(io, Accept(state_), asio::detached);
+  }
+  ~AsioListener() override {
+    asio::post(state_->acceptor.get_executor(), [state = state_] {
+      boost::system::error_code ignored;
+      state->acceptor.close(ignored);
+      for (tcp::socket* socket : state->open) socket->close(ignored);
+    });
+    state_->closed = true;
+  }
+  Address address() const override { return state_->address; }
+
+ private:
+  struct State {
+    State(asio::io_context& io, const tcp::endpoint& endpoint, EventLoop::Handler answer,
+          Traffic& counts)
+        : acceptor(io, endpoint), handler(std::move(answer)), traffic(counts) {
+      const tcp::endpoint local = acceptor.local_endpoint();
+      address = {local.address().to_string(), local.port()};
+    }
+    tcp::acceptor acceptor;
+    Address address;
+    EventLoop::Handler handler;
+    Traffic& traffic;
+    std::set<tcp::socket*> open;
+    std::atomic<bool> closed{false};
+  };
+
+  static asio::awaitable<void> Accept(std::shared_ptr<State> state) {
+    while (!state->closed) {
+      try {
+        tcp::socket socket = co_await state->acceptor.async_accept(use_awaitable);
+        socket.set_option(tcp::no_delay(true));
+        asio::co_spawn(state->acceptor.get_executor(), Serve(state, std::move(socket)),
+                       asio::detached);
+      } catch (const boost::system::system_error&) {
+        if (!state->acceptor.is_open()) co_return;
+      }
+    }
+  }
+
+  static asio::awaitable<void> Serve(std::shared_ptr<State> state, tcp::socket socket) {
+    beast::tcp_stream stream(std::move(socket));
+    state->open.insert(&stream.socket());
+    try {
+      beast::flat_buffer buffer;
+      while (!state->closed && co_await Answer(*state, stream, buffer)) {
+      }
+    } catch (const boost::system::system_error&) {
+      // The other side has gone.
+    }
+    state->open.erase(&stream.socket());
+  }
+
+  static asio::awaitable<bool> Answer(State& state, beast::tcp_stream& stream,
+                                      beast::flat_buffer& buffer) {
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(kMostBody);
+    stream.expires_after(DurationOf(kIdle));
+    const std::size_t read = co_await http::async_read(stream, buffer, parser, use_awaitable);
+    ++state.traffic.messages_in;
+    state.traffic.bytes_in += read;
+    http::request<http::string_body> request = parser.release();
+    if (state.closed) co_return false;  // nobody is there to answer
+    const bool keep = request.keep_alive();
+    const auto pending = std::make_shared<PendingReply>(stream.get_executor());
+    state.handler({std::string(request.method_string()), std::string(request.target()),
+                   std::move(request.body())},
+                  [pending](HttpReply reply) {
+                    pending->reply = std::move(reply);
+                    pending->wake.cancel();
+                  });
+    stream.expires_never();
+    if (!pending->reply) {
+      boost::system::error_code woken;
+      co_await pending->wake.async_wait(asio::redirect_error(use_awaitable, woken));
+    }
+    if (state.closed || !pending->reply) co_return false;
+    http::response<http::string_body> response(static_cast<http::status>(pending->reply->status),
+                                               kHttp11);
+    response.keep_alive(keep);
+    response.body() = std::move(pending->reply->body);
+    response.prepare_payload();
+    stream.expires_after(DurationOf(kIdle));
+    const std::size_t written = co_await http::async_write(stream, response, use_awaitable);
+    ++state.traffic.messages_out;
+    state.traffic.bytes_out += written;
+    co_return keep;
+  }
+
+  std::shared_ptr<State> state_;
+};
+
+class AsioCaller : public EventLoop::Caller {
+ public:
+  AsioCaller(asio::io_context& io, const tcp::endpoint& endpoint, Traffic& traffic)
+      : state_(std::make_shared<State>(io, endpoint, traffic)) {}
+  ~AsioCaller() override {
+    state_->alive = false;
+    asio::post(state_->io, [state = state_] { state->Drop(); });
+  }
+  void Call(HttpCall call, Seconds timeout, std::function<void(const HttpOutcome&)> done) override {
+    state_->busy = true;
+    asio::co_spawn(state_->io, Exchange(state_, std::move(call), timeout, std::move(done)),
+                   asio::detached);
+  }
+  bool busy() const override { return state_->busy; }
+
+ private:
+  struct State {
+    State(asio::io_context& context, tcp::endpoint to, Traffic& counts)
+        : io(context), endpoint(std::move(to)), traffic(counts) {}
+    void Drop() {
+      if (!stream) return;
+      boost::system::error_code ignored;
+      stream->socket().close(ignored);
+      stream.reset();
+    }
+    asio::io_context& io;
+    tcp::endpoint endpoint;
+    Traffic& traffic;
+    std::shared_ptr<beast::tcp_stream> stream;
+    beast::flat_buffer buffer;
+    bool busy = false;
+    std::atomic<bool> alive{true};
+  };
+
+  // Whether the other side has closed the kept connection, or said what was not asked.
+  static bool Stale(beast::tcp_stream& stream) {
+    char byte = 0;
+    boost::system::error_code error;
+    stream.socket().non_blocking(true);
+    stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error != asio::error::would_block;
+  }
+
+  static asio::awaitable<void> Exchange(std::shared_ptr<State> state, HttpCall call,
+                                        Seconds timeout,
+                                        std::function<void(const HttpOutcome&)> done) {
+    HttpOutcome outcome;
+    try {
+      co_await Try(*state, call, timeout, outcome);
+    } catch (const boost::system::system_error&) {
+      outcome = {};
+      state->Drop();
+    }
+    state->busy = false;
+    if (state->alive) done(outcome);
+  }
+
+  static asio::awaitable<void> Try(State& state, const HttpCall& call, Seconds timeout,
+                                   HttpOutcome& outcome) {
+    if (state.stream && Stale(*state.stream)) state.Drop();
+    if (!state.stream) {
+      state.stream = std::make_shared<beast::tcp_stream>(state.io);
+      state.buffer.clear();
+    }
+    const std::shared_ptr<beast::tcp_stream> stream = state.stream;  // outlives a Drop
+    stream->expires_after(DurationOf(timeout));
+    if (!stream->socket().is_open()) {
+      co_await stream->async_connect(state.endpoint, use_awaitable);
+      stream->socket().set_option(tcp::no_delay(true));
+    }
+    http::request<http::string_body> request(http::string_to_verb(call.method), call.target,
+                                             kHttp11);
+    request.set(http::field::host, "127.0.0.1");
+    request.body() = call.body;
+    request.prepare_payload();
+    const std::size_t written = co_await http::async_write(*stream, request, use_awaitable);
+    ++state.traffic.messages_out;
+    state.traffic.bytes_out += written;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(kMostBody);
+    const std::size_t read =
+        co_await http::async_read(*stream, state.buffer, parser, use_awaitable);
+    ++state.traffic.messages_in;
+    state.traffic.bytes_in += read;
+    const http::response<http::string_body> response = parser.release();
+    outcome = {true, static_cast<int>(response.result_int()), response.body()};
+    stream->expires_never();
+    if (!response.keep_alive()) state.Drop();
+  }
+
+  std::shared_ptr<State> state_;
+};
+
+}  // namespace
+
+struct EventLoop::Impl {
+  asio::io_context io{1};
+  asio::executor_work_guard<Executor> work{io.get_executor()};
+};
+
+EventLoop::EventLoop() : impl_(std::make_unique<Impl>()) {}
+EventLoop::~EventLoop() = default;
+
+void EventLoop::Run() { impl_->io.run(); }
+void EventLoop::Stop() { impl_->io.stop(); }
+void EventLoop::Post(std::function<void()> work) { asio::post(impl_->io, std::move(work)); }
+
+Instant EventLoop::Now() {
+  const auto now = std::chrono::steady_clock::now().time_since_epoch();
+  return {std::chrono::duration<double>(now).count()};
+}
+
+std::unique_ptr<EventLoop::Timer> EventLoop::MakeTimer(std::function<void()> due) {
+  return std::make_unique<AsioTimer>(impl_->io, std::move(due));
+}
+
+void EventLoop::After(Seconds delay, std::function<void()> due) {
+  const auto timer = std::make_shared<asio::steady_timer>(impl_->io);
+  timer->expires_after(DurationOf(delay));
+  timer->async_wait([timer, call = std::move(due)](const boost::system::error_code& error) {
+    if (!error) call();
+  });
+}
+
+std::unique_ptr<EventLoop::Listener> EventLoop::Listen(const Address& address, Handler handler,
+                                                       Traffic& traffic) {
+  try {
+    return std::make_unique<AsioListener>(impl_->io, EndpointOf(address), std::move(handler),
+                                          traffic);
+  } catch (const boost::system::system_error&) {
+    return nullptr;
+  }
+}
+
+std::unique_ptr<EventLoop::Caller> EventLoop::MakeCaller(const Address& address, Traffic& traffic) {
+  return std::make_unique<AsioCaller>(impl_->io, EndpointOf(address), traffic);
+}
+
+}  // namespace magpie::scale
--- /dev/null
+++ b/src/scale/main.cc
@@ -0,0 +1,90 @@
+// magpie_scale: plays controllers, as they are deployed, with thousands of hollow workers.
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <string>
+
+#include "scale/run.h"
+#include "scale/scenario.h"
+
+namespace {
+
+constexpr int kRulesBroken = 1;
+constexpr int kBadInput = 2;
+
+// A line that is written over; nothing where nobody watches.
+void ShowProgress(double part, const std::string& words) {
+  static const bool watched = isatty(STDERR_FILENO) != 0;
+  if (!watched) return;
+  constexpr int kWidth = 40;
+  const int done = static_cast<int>(part * kWidth);
+  std::cerr << "\r[" << std::string(static_cast<std::size_t>(done), '#')
+            << std::string(static_cast<std::size_t>(kWidth - done), '.') << "] " << words << "   "
+            << std::flush;
+}
+
+int Play(magpie::scale::Scenario scenario, const std::string& file, const std::string& out) {
+  magpie::scale::Run run(std::move(scenario), file, out, ShowProgress);
+  const nlohmann::json result = run.Play();
+  const std::filesystem::path path = std::filesystem::path(out) / "result.json";
+  std::ofstream written(path);
+  written << result.dump(2) << "\n";
+  written.close();
+  if (!written) {
+    std::cerr << path.string() << ": can't be written\n";
+    return kBadInput;
+  }
+  std::cerr << "\n";
+  for (const auto& why : result["why"]) std::cerr << why.get<std::string>() << "\n";
+  std::cout << path.string() << "\n";
+  return result["ok"].get<bool>() ? 0 : kRulesBroken;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  spdlog::set_default_logger(spdlog::stderr_logger_mt("magpie_scale"));
+  CLI::App app{"plays controllers with thousands of hollow workers"};
+  app.require_subcommand(1);
+  CLI::App* run = app.add_subcommand("run", "plays one scenario and writes its figures");
+  std::string file;
+  std::string out = "scale-out";
+  std::string binary;
+  std::uint32_t workers = 0;
+  double starts = 0;
+  double seconds = 60;
+  run->add_option("scenario", file, "what is played (TOML)")->required();
+  run->add_option("--workers", workers, "hollow workers")->required();
+  run->add_option("--starts", starts, "tasks that users want started a second")->required();
+  run->add_option("--for", seconds, "seconds that are measured");
+  run->add_option("--out", out, "folder for the figures, settings and logs");
+  run->add_option("--binary", binary, "the controllers' program, in place of the scenario's");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e) == 0 ? 0 : kBadInput;
+  }
+  try {
+    magpie::scale::Scenario scenario = magpie::scale::LoadScenario(file);
+    scenario.workers = workers;
+    scenario.starts = starts;
+    scenario.measured = {seconds};
+    if (!binary.empty()) scenario.binary = binary;
+    magpie::scale::CheckCommandLine(scenario, file);
+    return Play(std::move(scenario), file, out);
+  } catch (const magpie::scale::BadScenario& e) {
+    std::cerr << e.what() << "\n";
+  } catch (const magpie::scale::CannotRun& e) {
+    std::cerr << e.what() << "\n";
+  } catch (const std::filesystem::filesystem_error& e) {
+    std::cerr << out << ": " << e.code().message() << "\n";
+  }
+  return kBadInput;
+}
--- /dev/null
+++ b/src/scale/recorder.h
@@ -0,0 +1,83 @@
+// Takes down what users and workers see as it happens, has it judged, and keeps the figures
+// that come of it. Safe for threads.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "scale/checker.h"
+#include "scale/history.h"
+#include "scale/hollow_worker.h"
+#include "scale/latency.h"
+
+namespace magpie::scale {
+
+class Recorder : public TaskObserver {
+ public:
+  explicit Recorder(Checker::Options options);
+
+  template <typename What>
+  void Note(What what) {
+    std::lock_guard lock(mutex_);
+    Take({Clock(), std::move(what)});
+  }
+  void OnTaskBegan(const MachineId& machine, const TaskId& task, Attempt attempt,
+                   Instant now) override;
+  void OnTaskLeft(const MachineId& machine, const TaskId& task, Attempt attempt, bool completed,
+                  Instant now) override;
+  // A user was told of an acceptance so long after it first asked.
+  void NoteAccepted(Seconds took);
+  // Starts are counted from now on.
+  void BeginMeasuring();
+  // The first start after this instant tells that a leader is at work again.
+  void AwaitStart(Instant from);
+  std::optional<Instant> first_start_since();
+
+  std::uint64_t started();
+  std::uint64_t completed();
+  std::size_t on_machines();
+  void Finish();
+
+  struct Figures {
+    nlohmann::json start_by_class;  // from the first submission to the first start of a task
+    nlohmann::json start;
+    nlohmann::json accept;
+    std::uint64_t started = 0;
+    std::uint64_t completed = 0;
+    std::map<std::string, std::uint64_t> broken;  // by rule
+    std::vector<std::string> violations;
+  };
+  Figures figures();
+
+ private:
+  struct JobTimes {
+    Instant submitted;
+    std::string job_class;
+    std::vector<bool> started;
+  };
+
+  static Instant Clock();
+  void Take(const Event& event);
+  void CountSubmission(const JobSubmitted& event, Instant at);
+  void CountStart(const TaskBegan& event, Instant at);
+
+  std::mutex mutex_;
+  Checker checker_;
+  std::unordered_map<std::string, JobTimes> jobs_;
+  std::map<std::string, Latency> start_by_class_;
+  Latency start_;
+  Latency accept_;
+  std::uint64_t started_ = 0;
+  std::uint64_t completed_ = 0;
+  std::size_t on_machines_ = 0;
+  bool measuring_ = true;
+  std::optional<Instant> awaited_from_;
+  std::optional<Instant> awaited_;
+};
+
+}  // namespace magpie::scale
--- /dev/null
+++ b/src/scale/state_server.cc
@@ -0,0 +1,207 @@
+#include "scale/state_server.h"
+
+#include <cmath>
+#include <utility>
+
+#include "scale/codec.h"
+
+namespace magpie::scale {
+namespace {
+
+constexpr Seconds kTick{0.05};  // leases may end 0.1 s late
+constexpr Seconds kLongestBlock{60};
+constexpr char kKeys[] = "/kv";
+constexpr char kKey[] = "/kv/";
+constexpr char kCommit[] = "/txn";
+constexpr char kLeases[] = "/holds";
+constexpr char kLease[] = "/holds/";
+constexpr char kTouch[] = "/touch";
+constexpr char kWatch[] = "/watch";
+
+HttpReply Refusal(int status, const char* error) { return {status, Json{{"error", error}}.dump()}; }
+
+HttpReply ReplyFor(StateStatus status, const Json& body) {
+  switch (status) {
+    case StateStatus::kOk:
+      return {200, body.dump()};
+    case StateStatus::kAbsent:
+      return {404, body.dump()};
+    case StateStatus::kConflict:
+      return {409, body.dump()};
+    case StateStatus::kOverRate:
+      return {429, body.dump()};
+    case StateStatus::kTooOld:
+      return {410, body.dump()};
+    case StateStatus::kBad:
+      break;
+  }
+  return {400, body.dump()};
+}
+
+}  // namespace
+
+StateServer::StateServer(EventLoop& loop, Options options, OnCommit on_commit)
+    : loop_(loop),
+      options_(options),
+      on_commit_(std::move(on_commit)),
+      service_(options.service),
+      random_(static_cast<std::minstd_rand::result_type>(options.seed)),
+      tick_(loop.MakeTimer([this] { Tick(); })) {
+  tick_->Set(EventLoop::Now() + kTick);
+}
+
+std::optional<Address> StateServer::Serve(const std::string& controller) {
+  Endpoint& endpoint = endpoints_[controller];
+  endpoint.listener = loop_.Listen(
+      {"127.0.0.1", 0},
+      [this, controller](const HttpCall& call, EventLoop::ReplyTo reply) {
+        OnRequest(controller, call, reply);
+      },
+      endpoint.traffic);
+  if (!endpoint.listener) return std::nullopt;
+  return endpoint.listener->address();
+}
+
+void StateServer::SetOutage(bool outage) {
+  if (outage_ && !outage) service_.EndOutage(EventLoop::Now());
+  outage_ = outage;
+}
+
+void StateServer::SetCut(const std::string& controller, bool cut) {
+  endpoints_.at(controller).cut = cut;
+}
+
+bool StateServer::Refuses(const std::string& controller) const {
+  return outage_ || endpoints_.at(controller).cut;
+}
+
+Seconds StateServer::Latency() {
+  std::normal_distribution<double> spread(0, options_.latency_spread);
+  return std::exp(spread(random_)) * options_.latency;
+}
+
+void StateServer::OnRequest(const std::string& controller, const HttpCall& call,
+                            const EventLoop::ReplyTo& reply) {
+  loop_.After(Latency(), [this, controller, call, reply] { Answer(controller, call, reply); });
+}
+
+void StateServer::Answer(const std::string& controller, const HttpCall& call,
+                         const EventLoop::ReplyTo& reply) {
+  ++counts_.requests;
+  if (Refuses(controller)) {
+    reply(Refusal(503, "outage"));
+    return;
+  }
+  if (!service_.Admit(EventLoop::Now())) {
+    ++counts_.over_rate;
+    reply(Refusal(429, "rate"));
+    return;
+  }
+  try {
+    if (PathOf(call.target) == kWatch)
+      AnswerWatch(controller, call, reply);
+    else
+      reply(AnswerNow(call));
+  } catch (const wire::BadMessage& e) {
+    reply(Refusal(400, e.what()));
+  }
+}
+
+HttpReply StateServer::AnswerNow(const HttpCall& call) {
+  const std::string path = PathOf(call.target);
+  if (path == kCommit) return AnswerCommit(call);
+  if (path == kKeys) return AnswerRange(call);
+  if (path.starts_with(kKey)) {
+    const auto entry = service_.Get(path.substr(sizeof(kKey) - 1), EventLoop::Now());
+    if (!entry) return ReplyFor(StateStatus::kAbsent, TickToJson(service_.tick()));
+    return ReplyFor(StateStatus::kOk, ToJson(*entry));
+  }
+  if (path == kLeases || path.starts_with(kLease)) return AnswerLease(call);
+  return Refusal(404, "no such path");
+}
+
+HttpReply StateServer::AnswerRange(const HttpCall& call) {
+  constexpr std::uint64_t kPage = 1000;
+  const StateRange range = service_.Range(
+      QueryField(call.target, "under").value_or(""), QueryField(call.target, "after").value_or(""),
+      QueryCount(call.target, "page").value_or(kPage), EventLoop::Now());
+  return ReplyFor(StateStatus::kOk, ToJson(range));
+}
+
+HttpReply StateServer::AnswerCommit(const HttpCall& call) {
+  const Instant now = EventLoop::Now();
+  const Transaction transaction = TransactionFromJson(wire::ParseObject(call.body));
+  const StateCommit commit = service_.Commit(transaction, now);
+  if (commit.status == StateStatus::kOverRate) ++counts_.over_rate;
+  if (commit.status == StateStatus::kConflict) ++counts_.conflicts;
+  if (commit.status == StateStatus::kOk) {
+    ++counts_.commits;
+    counts_.operations += transaction.apply.size();
+    counts_.value_bytes += call.body.size();
+    on_commit_(transaction, now);
+    ServeWatches();
+  }
+  return ReplyFor(commit.status, ToJson(commit));
+}
+
+HttpReply StateServer::AnswerLease(const HttpCall& call) {
+  const Instant now = EventLoop::Now();
+  const std::string path = PathOf(call.target);
+  if (path == kLeases) {
+    const LeaseId lease = service_.Grant(LeaseLifeFromJson(wire::ParseObject(call.body)), now);
+    if (lease.v == 0) return Refusal(400, "life_ms");
+    return ReplyFor(StateStatus::kOk, LeaseToJson(lease));
+  }
+  const std::string rest = path.substr(sizeof(kLease) - 1);
+  const std::string number = rest.substr(0, rest.find('/'));
+  if (number.empty() || number.find_first_not_of("0123456789") != std::string::npos)
+    return Refusal(404, "no such lease");
+  const LeaseId lease{std::stoull(number)};
+  const bool touch = call.method == "POST" && rest.ends_with(kTouch);
+  if (!touch && call.method != "DELETE") return Refusal(400, "method");
+  const StateStatus status = touch ? service_.Touch(lease, now) : service_.End(lease, now);
+  ServeWatches();
+  return ReplyFor(status, Json::object());
+}
+
+void StateServer::AnswerWatch(const std::string& controller, const HttpCall& call,
+                              const EventLoop::ReplyTo& reply) {
+  constexpr double kMilli = 1e-3;
+  const Seconds block{kMilli *
+                      static_cast<double>(QueryCount(call.target, "block_ms").value_or(0))};
+  watches_.push_back({controller,
+                      QueryField(call.target, "under").value_or(""),
+                      {QueryCount(call.target, "after").value_or(0)},
+                      EventLoop::Now() + std::min(block, kLongestBlock),
+                      reply});
+  ServeWatches();
+}
+
+void StateServer::ServeWatches() {
+  const Instant now = EventLoop::Now();
+  for (auto it = watches_.begin(); it != watches_.end();) {
+    // During an outage, open watches remain open.
+    if (Refuses(it->controller)) {
+      ++it;
+      continue;
+    }
+    const StateLog log = service_.Changes(it->prefix, it->after, now);
+    if (log.status == StateStatus::kOk && log.events.empty() && now < it->until) {
+      ++it;
+      continue;
+    }
+    const EventLoop::ReplyTo reply = std::move(it->reply);
+    it = watches_.erase(it);
+    reply(ReplyFor(log.status, ToJson(log)));
+  }
+}
+
+void StateServer::Tick() {
+  const Instant now = EventLoop::Now();
+  tick_->Set(now + kTick);
+  if (outage_) return;
+  service_.Expire(now);
+  ServeWatches();
+}
+
+}  // namespace magpie::scale
--- /dev/null
+++ b/src/scale/state_server.h
@@ -0,0 +1,94 @@
+// The stand-in state service over HTTP: one endpoint for each controller, so that each can
+// be counted and cut off by itself, with latencies, waiting watches and outages.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+
+#include "scale/event_loop.h"
+#include "scale/state_service.h"
+
+namespace magpie::scale {
+
+class StateServer {
+ public:
+  struct Options {
+    StateService::Options service;
+    Seconds latency{0.005};       // in the median
+    double latency_spread = 0.5;  // of its logarithm
+    std::uint64_t seed = 1;
+  };
+  struct Counts {
+    std::uint64_t requests = 0;
+    std::uint64_t over_rate = 0;
+    std::uint64_t commits = 0;
+    std::uint64_t conflicts = 0;
+    std::uint64_t operations = 0;  // puts and drops that were carried out
+    std::uint64_t value_bytes = 0;
+  };
+  // Told of each transaction that was carried out.
+  using OnCommit = std::function<void(const Transaction&, Instant)>;
+
+  // All calls are made on the loop's thread, but for Serve before it runs.
+  StateServer(EventLoop& loop, Options options, OnCommit on_commit);
+
+  // An endpoint for one controller; none: it can't listen.
+  std::optional<Address> Serve(const std::string& controller);
+  void SetOutage(bool outage);
+  // One controller gets 503, as if its way there were cut.
+  void SetCut(const std::string& controller, bool cut);
+
+  const Counts& counts() const { return counts_; }
+  std::size_t keys() const { return service_.keys(); }
+  const Traffic& traffic(const std::string& controller) const {
+    return endpoints_.at(controller).traffic;
+  }
+
+ private:
+  struct Endpoint {
+    std::unique_ptr<EventLoop::Listener> listener;
+    Traffic traffic;
+    bool cut = false;
+  };
+  struct Watch {
+    std::string controller;
+    std::string prefix;
+    Stamp after;
+    Instant until;
+    EventLoop::ReplyTo reply;
+  };
+
+  void OnRequest(const std::string& controller, const HttpCall& call,
+                 const EventLoop::ReplyTo& reply);
+  void Answer(const std::string& controller, const HttpCall& call, const EventLoop::ReplyTo& reply);
+  HttpReply AnswerNow(const HttpCall& call);
+  HttpReply AnswerRange(const HttpCall& call);
+  HttpReply AnswerCommit(const HttpCall& call);
+  HttpReply AnswerLease(const HttpCall& call);
+  void AnswerWatch(const std::string& controller, const HttpCall& call,
+                   const EventLoop::ReplyTo& reply);
+  // Answers those whose time has come or who have something to hear.
+  void ServeWatches();
+  void Tick();
+  Seconds Latency();
+  bool Refuses(const std::string& controller) const;
+
+  EventLoop& loop_;
+  Options options_;
+  OnCommit on_commit_;
+  StateService service_;
+  std::minstd_rand random_;
+  std::map<std::string, Endpoint> endpoints_;
+  std::list<Watch> watches_;
+  std::unique_ptr<EventLoop::Timer> tick_;
+  bool outage_ = false;
+  Counts counts_;
+};
+
+}  // namespace magpie::scale
--- /dev/null
+++ b/tests/scale_scenario_test.cc
@@ -0,0 +1,94 @@
+// Scenarios of scale runs: what is wrong is told in one line with the file and the key.
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "scale/scenario.h"
+
+namespace magpie::scale {
+namespace {
+
+constexpr char kGood[] = R"(
+zones = ["a", "b"]
+[[cloud.types]]
+name = "plain"
+[[teams]]
+name = "red"
+[[classes]]
+name = "sums"
+share = 1.0
+)";
+
+std::string Fault(const std::string& text) {
+  try {
+    ParseScenario(text, "play.toml");
+  } catch (const BadScenario& e) {
+    return e.what();
+  }
+  return "none";
+}
+
+std::string With(const char* more, const char* text = kGood) {
+  std::string all = text;
+  return all.append(more);
+}
+
+TEST(Scenario, WhatIsNotSaidHasDefaults) {
+  const Scenario scenario = ParseScenario(kGood, "play.toml");
+  EXPECT_EQ(scenario.controllers.count, 3U);
+  ASSERT_EQ(scenario.classes.size(), 1U);
+  EXPECT_EQ(scenario.classes[0].teams, std::vector<std::string>{"red"});
+  EXPECT_EQ(scenario.cloud.types[0].zones, scenario.zones);
+}
+
+TEST(Scenario, EachFaultNamesFileAndKey) {
+  struct Row {
+    const char* more;
+    const char* fault;
+  };
+  for (const Row& row : {
+           Row{"colour = 1\n", "play.toml: classes[0].colour: is no known key"},
+           Row{"[state]\nrpm = 5\n", "play.toml: state.rpm: is no known key"},
+           Row{"[state]\nrps = \"x\"\n", "play.toml: state.rps: must be a number"},
+           Row{"[state]\nrps = 0\n", "play.toml: state.rps: is out of range"},
+           Row{"[controllers]\ncount = 0\n", "play.toml: controllers.count: is out of range"},
+           Row{"[controllers]\ncount = 1.5\n", "play.toml: controllers.count: must be a count"},
+           Row{"[[classes]]\nname = \"more\"\nshare = 0.5\n",
+               "play.toml: classes: the shares must add up to 1"},
+           Row{"[[classes]]\nshare = 0.5\n", "play.toml: classes[1].name: is missing"},
+           Row{"teams = [\"blue\"]\n", "play.toml: classes[0].teams: blue is no team"},
+           Row{"priority = \"urgent\"\n",
+               "play.toml: classes[0].priority: must be production, high, standard or low"},
+           Row{"[[faults]]\nkind = \"flood\"\n", "play.toml: faults[0].kind: is no known fault"},
+           Row{"[[faults]]\nkind = \"zone\"\nzone = \"c\"\n",
+               "play.toml: faults[0].zone: c is no zone"},
+           Row{"[[teams]]\n", "play.toml: teams[1].name: is missing"},
+       })
+    EXPECT_EQ(Fault(With(row.more)), row.fault);
+  EXPECT_EQ(Fault(""), "play.toml: zones: is missing");
+  EXPECT_EQ(Fault("zones = [\"a\"]\n"), "play.toml: cloud.types: is missing");
+  EXPECT_TRUE(Fault("zones = [").starts_with("play.toml: "));
+  EXPECT_THROW(LoadScenario("no such file.toml"), BadScenario);
+}
+
+TEST(Scenario, TheCommandLineIsChecked) {
+  const auto fault = [](std::uint32_t workers, double starts, double seconds) -> std::string {
+    Scenario scenario = ParseScenario(kGood, "play.toml");
+    scenario.workers = workers;
+    scenario.starts = starts;
+    scenario.measured = {seconds};
+    try {
+      CheckCommandLine(scenario, "play.toml");
+    } catch (const BadScenario& e) {
+      return e.what();
+    }
+    return "none";
+  };
+  EXPECT_EQ(fault(1, 1, 1), "none");
+  EXPECT_EQ(fault(0, 1, 1), "play.toml: --workers: must be at least 1");
+  EXPECT_EQ(fault(1, 0, 1), "play.toml: --starts: is out of range");
+  EXPECT_EQ(fault(1, 1, -1), "play.toml: --for: is out of range");
+}
+
+}  // namespace
+}  // namespace magpie::scale
