magpie_scale keeps the controllers' ports for the whole run

Hundreds of workers that listen on any port took those that were meant for the controllers between their choice and their start: "api_addr: can't listen there" with 425 workers. They are now held by a bound socket that never listens; servers that allow the reuse of addresses can listen there, also after a kill.

--- a/src/scale/controller_process.cc
+++ b/src/scale/controller_process.cc
@@ -71,16 +71,15 @@
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t length = sizeof address;
+  const int on = 1;
+  setsockopt(socket_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   if (bind(socket_, reinterpret_cast<sockaddr*>(&address), length) == 0 &&
       getsockname(socket_, reinterpret_cast<sockaddr*>(&address), &length) == 0)
     port_ = ntohs(address.sin_port);
 }
 
-ReservedPort::~ReservedPort() { GiveUp(); }
-
-void ReservedPort::GiveUp() {
+ReservedPort::~ReservedPort() {
   if (socket_ >= 0) close(socket_);
-  socket_ = -1;
 }
 
 std::string SettingsText(const Scenario& scenario, const std::vector<ControllerPlan>& all,
--- a/src/scale/controller_process.h
+++ b/src/scale/controller_process.h
@@ -21,7 +21,9 @@
 // None: there is no such process.
 std::optional<ProcessUsage> UsageOf(pid_t pid);
 
-// A port of loopback that nobody has, kept until it is given up for the process that needs it.
+// A port of loopback that is kept for a process: whoever asks for any port gets another, but a
+// server that allows the reuse of addresses, as controllers do, can listen there, and again
+// after it was killed.
 class ReservedPort {
  public:
   ReservedPort();
@@ -29,7 +31,6 @@
   ReservedPort(const ReservedPort&) = delete;
   ReservedPort& operator=(const ReservedPort&) = delete;
   Address address() const { return {"127.0.0.1", port_}; }
-  void GiveUp();
 
  private:
   int socket_ = -1;
--- a/src/scale/run.cc
+++ b/src/scale/run.cc
@@ -115,15 +115,14 @@
   const std::optional<Address> cloud_address = cloud_server_->Serve();
   if (!cloud_address) throw CannotRun("127.0.0.1: can't listen there");
 
-  std::vector<std::unique_ptr<ReservedPort>> ports;
   std::vector<ControllerPlan> plans;
   for (std::uint32_t i = 0; i < scenario_.controllers.count; ++i) {
     ControllerPlan plan;
     plan.label = "nestbox-" + std::to_string(i);
     plan.zone = scenario_.zones[i % scenario_.zones.size()];
     for (Address* address : {&plan.api, &plan.mesh}) {
-      ports.push_back(std::make_unique<ReservedPort>());
-      *address = ports.back()->address();
+      ports_.push_back(std::make_unique<ReservedPort>());
+      *address = ports_.back()->address();
     }
     const std::optional<Address> state = state_->Serve(plan.label);
     if (!state) throw CannotRun("127.0.0.1: can't listen there");
--- a/src/scale/run.h
+++ b/src/scale/run.h
@@ -129,6 +129,7 @@
   std::unique_ptr<Users> users_;
   std::thread services_thread_;
   std::thread users_thread_;
+  std::vector<std::unique_ptr<ReservedPort>> ports_;
   std::vector<Controller> controllers_;
 
   std::mutex leader_mutex_;
