--- a/src/app/job_api.cc
+++ b/src/app/job_api.cc
@@ -6,6 +6,7 @@
 #include <cmath>
 
 #include "core/fleet.h"
+#include "core/test_guards.h"
 
 namespace magpie {
 namespace {
@@ -72,6 +73,8 @@
   try {
     // A job's record turns final in one transaction, so a job that is in
     // neither place, looked up in this order, was not accepted before we began.
+    const bool wrong_order = Removed(Guard::kLiveBeforeFinal);
+    const GetResult early = wrong_order ? store_.Get(records::FinalKey(id)) : GetResult{};
     const JobMirror::Answer job = mirror_.Look(id);
     if (!job.reached) return lookup;
     if (job.live) {
@@ -81,7 +84,7 @@
                                           : Found::kLive;
       return lookup;
     }
-    const GetResult final = store_.Get(records::FinalKey(id));
+    const GetResult final = wrong_order ? early : store_.Get(records::FinalKey(id));
     if (final.end != StoreEnd::kOk) return lookup;
     if (!final.entry) {
       lookup.found = Found::kNo;
@@ -225,13 +228,16 @@
     const auto mark = [&](const char* field) {
       record[field] = true;
       intake_.Charge();
-      const TxnResult result = store_.Commit(
-          {{{records::JobKey(id), stamp}}, {{records::JobKey(id), record, std::nullopt}}});
+      Transaction txn{{}, {{records::JobKey(id), record, std::nullopt}}};
+      if (!Removed(Guard::kCancelCondition)) txn.when.push_back({records::JobKey(id), stamp});
+      const TxnResult result = store_.Commit(txn);
       if (result.end == StoreEnd::kOk) stamp = result.tick;
       if (result.end != StoreEnd::kOk && result.end != StoreEnd::kConflict) wait();
       return result.end == StoreEnd::kOk;
     };
-    if (!record.value(records::kStopping, false) && !mark(records::kStopping)) continue;
+    const bool stopping =
+        record.value(records::kStopping, false) || Removed(Guard::kStoppingBeforeTold);
+    if (!stopping && !mark(records::kStopping)) continue;
     // Its user waits no longer, and repeats it: the rest is the repeat's, which has less to do.
     if (hooks_.steady() >= until) break;
     // It must be durable before it is announced: a controller that ends after it has heard
--- a/src/app/job_mirror.cc
+++ b/src/app/job_mirror.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/test_guards.h"
 #include "state/records.h"
 
 namespace magpie {
@@ -28,6 +29,7 @@
 
 // Waits for a read that began after now; whether the last one succeeded.
 bool JobMirror::Update(std::unique_lock<std::mutex>& lock) {
+  if (Removed(Guard::kReadAfterQuestion) && reached_) return true;
   const std::uint64_t wanted = started_ + 1;
   while (ended_ < wanted) {
     if (running_) {
@@ -63,7 +65,7 @@
   constexpr std::size_t kMost = 20000;
   std::lock_guard lock(mutex_);
   // What a read of ours has, or had before it was over, need not be kept.
-  if (c.stamp <= tick_) return true;
+  if (c.stamp <= tick_ || Removed(Guard::kCancellationKept)) return true;
   if (heard_.size() >= kMost && !heard_.contains(c.job.v)) return false;
   Stamp& kept = heard_[c.job.v];
   kept = std::max(kept, c.stamp);
--- a/src/app/membership.cc
+++ b/src/app/membership.cc
@@ -1,5 +1,7 @@
 #include "app/membership.h"
 
+#include "core/test_guards.h"
+
 namespace magpie {
 namespace {
 constexpr std::uint32_t kPage = 100;
@@ -71,11 +73,14 @@
     const std::string holder = Field(leader, "label");
     view_.leader = holder;
     if (epoch != nullptr) view_.epoch = epoch->stamp;
-    if (leader != nullptr && Field(leader, "nonce") == nonce_) {
+    const bool ours =
+        Field(leader, "nonce") == nonce_ || (Removed(Guard::kNonceOfRun) && holder == label_);
+    if (leader != nullptr && ours) {
       // The epoch names the stamp of the key it was won with, so that a key
       // lost and won again makes a new epoch.
-      if (epoch != nullptr && Field(epoch, "nonce") == nonce_ &&
-          epoch->value.value("key", std::uint64_t{0}) == leader->stamp.v) {
+      if (epoch != nullptr && (Field(epoch, "nonce") == nonce_ || Removed(Guard::kNonceOfRun)) &&
+          (epoch->value.value("key", std::uint64_t{0}) == leader->stamp.v ||
+           Removed(Guard::kEpochOfKey))) {
         view_.leadership = records::Leadership{leader->stamp, epoch->stamp};
         EnsureMember(range.entries);
         return view_;
--- a/src/core/dialogue.cc
+++ b/src/core/dialogue.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/scheduler.h"
+#include "core/test_guards.h"
 
 namespace magpie {
 namespace {
@@ -19,13 +20,16 @@
 // seen a token above those of all commands without an answer; and the answer to
 // a command says nothing of a report's response that is still on its way.
 bool Scheduler::Conclusive(const Machine& m, bool from_push) const {
-  return m.seen >= m.fence && !m.push_open && !(from_push && m.reply_open);
+  if (m.seen < m.fence && !Removed(Guard::kFenceSeen)) return false;
+  if (m.push_open && !Removed(Guard::kOpenCommand)) return false;
+  return !(from_push && m.reply_open) || Removed(Guard::kOpenReply);
 }
 
 // Whether a message is newer than all that the machine said before. A worker that was
 // started anew under the same name may have lost its numbers and its token, and a
 // message of the one before it may still come, so both have to agree.
 bool Scheduler::Follows(const Machine& m, const Report& report) {
+  if (Removed(Guard::kReportOrder)) return true;
   return std::tuple(report.session, report.seq) > std::tuple(m.session, m.seq) &&
          report.token >= m.seen;
 }
@@ -33,6 +37,7 @@
 // An answer is given after we asked. If the worker had told a later number by then, or
 // had seen a later token, it is not the one that it was.
 bool Scheduler::BegunAnew(const Push& push, const Report& answer) {
+  if (Removed(Guard::kBegunAnew)) return false;
   return std::tuple(answer.session, answer.seq) <= std::tuple(push.told_session, push.told_seq) ||
          answer.token < push.told_token;
 }
@@ -48,7 +53,7 @@
     return;
   }
   m.token = {std::max(m.token, report.token).v + 1};
-  m.fence = m.token;
+  m.fence = Removed(Guard::kFenceBegunAnew) ? Token{} : m.token;
   m.seen = report.token;
   m.session = report.session;
   m.seq = 0;
@@ -69,7 +74,7 @@
 Reply Scheduler::OnReport(const Report& report, Instant now, bool relayed) {
   Reply reply;
   // A token of a later epoch: another controller leads by now.
-  if (EpochOf(report.token) > EpochOf(base_)) {
+  if (EpochOf(report.token) > EpochOf(base_) && !Removed(Guard::kLaterEpochReport)) {
     reply.entitled = false;
     return reply;
   }
@@ -161,7 +166,7 @@
     m.notice_until.reset();
   if (m.notice_until) roster_.Watch(m);
   // Only a worker that has seen a token of our term takes no command of an earlier leader.
-  const bool ours_alone = m.seen >= base_;
+  const bool ours_alone = m.seen >= base_ || Removed(Guard::kLaterSession);
   if (new_session) {
     // Our commands of the earlier session do nothing any more, and all its tasks are gone.
     // An open push still has to come back before the next is sent. But an earlier leader
@@ -204,7 +209,8 @@
     // A result is a result, whichever attempt brought it, as long as no other
     // attempt is on a machine.
     if (entry.mood == TaskMood::kEnded && entry.cause == EndCause::kDone &&
-        t.state == TaskState::kPending && !job->cancelled)
+        (t.state == TaskState::kPending || Removed(Guard::kResultOfUnboundAlone)) &&
+        !job->cancelled)
       SetDone(*job, entry.task.index, now);
     return;
   }
@@ -230,7 +236,7 @@
   // a result, but its quota may not be given away while the attempt runs again: it is kept
   // until the worker says the result anew, within moments as a rule, since our token is news to
   // it, or until the attempt is over in another way.
-  if (m.seen < base_) {
+  if (m.seen < base_ && !Removed(Guard::kEndBeforeOurTerm)) {
     if (entry.cause == EndCause::kDone && t.state == TaskState::kBound && !job->cancelled)
       ResultTold(*job, entry.task.index);
     return;
@@ -290,7 +296,7 @@
     if (entry.mood == TaskMood::kEnded) {
       // Forgotten only when its end is recorded or it is bound no longer, and
       // no open command could start it once more.
-      if (!ours && Conclusive(m, true))
+      if (!ours && (Conclusive(m, true) || Removed(Guard::kForgetConclusive)))
         commands.push_back({CommandKind::kForget, entry.task, entry.attempt, {}});
       continue;
     }
@@ -300,12 +306,15 @@
       commands.push_back({CommandKind::kStop, entry.task, entry.attempt, t->grace});
     }
   }
-  if (m.notice_until || !starts_allowed_) return commands;
+  if (m.notice_until) return commands;
+  if (!starts_allowed_ && !Removed(Guard::kJobsReadBeforeStart)) return commands;
   for (const Held& held : m.tasks) {
     if (full()) break;
-    if (held.job->cancelled) continue;
+    if (held.job->cancelled && !Removed(Guard::kNoRunWhileStopping)) continue;
     const Task& t = held.task();
-    if (t.state != TaskState::kBound || t.seen || t.want_stop || t.result_told) continue;
+    if (t.state != TaskState::kBound && !Removed(Guard::kRunOfDurableAlone)) continue;
+    if (t.seen || t.result_told) continue;
+    if (t.want_stop && !Removed(Guard::kNoRunWhileStopping)) continue;
     if (MayStart(*held.job))
       commands.push_back({CommandKind::kRun, held.id(), t.attempt, {}});
     else
@@ -360,8 +369,10 @@
   }
   if (end == PushEnd::kUnknown) {
     // It may be executed at any time until the worker sees a higher token.
-    m.token = std::max(m.token, Token{push.token.v + 1});
-    m.fence = m.token;
+    if (!Removed(Guard::kRaiseAfterNoAnswer)) {
+      m.token = std::max(m.token, Token{push.token.v + 1});
+      m.fence = m.token;
+    }
     m.push_after = now + Seconds{kPushRetry};
     return;
   }
@@ -372,7 +383,7 @@
   if (!report || report->machine != m.id) return;
   // A later leader's token must never become ours: with it, what a deposed
   // leader still believes would be obeyed.
-  if (EpochOf(report->token) > EpochOf(base_)) return;
+  if (EpochOf(report->token) > EpochOf(base_) && !Removed(Guard::kLaterEpochPush)) return;
   if (BegunAnew(push, *report)) ForgetsAll(m, *report);
   m.token = std::max(m.token, report->token);
   if (Follows(m, *report)) Absorb(m, *report, true, now);
--- a/src/core/limits.cc
+++ b/src/core/limits.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/scheduler.h"
+#include "core/test_guards.h"
 
 namespace magpie {
 
@@ -37,6 +38,7 @@
 // another, so that its records have both; then whatever is absent for sure is unbound instead,
 // until the rest keeps the rules. docs/design.md, "Limits and zones", has the proof.
 bool Scheduler::MayStart(const Job& job) const {
+  if (Removed(Guard::kMayStart)) return true;
   if (!WithinLimit(job, team_use_, {})) return false;
   if (job.spec.together && job.in_zone.size() > 1) return false;
   const std::uint32_t most = MostPerZone(job.spec);
--- a/src/core/record_loader.cc
+++ b/src/core/record_loader.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/scheduler.h"
+#include "core/test_guards.h"
 
 namespace magpie {
 namespace {
@@ -57,7 +58,8 @@
     Job* job = FindJob(r.job);  // none: it was made final
     if (job == nullptr || r.task.index >= job->tasks.size()) continue;
     Task& t = job->tasks[r.task.index];
-    if (t.page != 0 && AgeOf(r.task) <= AgeOf(RecordOf(t, r.task.index))) continue;
+    const bool later = t.page == 0 || AgeOf(r.task) > AgeOf(RecordOf(t, r.task.index));
+    if (!later && !Removed(Guard::kReadLatestRecord)) continue;
     ApplyRecord(*job, r.task);
     pages_.Put(page, {job->serial, r.task.index}, t.page);
   }
--- a/src/core/record_writer.cc
+++ b/src/core/record_writer.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "core/scheduler.h"
+#include "core/test_guards.h"
 
 namespace magpie {
 namespace {
@@ -27,7 +28,7 @@
 // its job may have been cancelled meanwhile.
 std::optional<TaskRecord> Scheduler::DurableRecordOf(const Task& t, std::uint32_t index) {
   TaskRecord r = RecordOf(t, index);
-  if (t.state == TaskState::kBinding) {
+  if (t.state == TaskState::kBinding && !Removed(Guard::kCarriedUnbound)) {
     r.machine = {};
     r.zone.clear();
     --r.attempt.v;
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/test_guards.h"
+
 namespace magpie {
 namespace {
 constexpr double kLateReports = 1.3;  // they vary by a quarter
@@ -246,6 +248,7 @@
   t.state = TaskState::kEnding;
   if (++job.done == job.spec.tasks) DropClaim(job);
   FreeRoom(job, t);
+  if (t.machine != nullptr && Removed(Guard::kQuotaUntilDurable)) LeaveMachine(job, index);
   wants_tick_ = true;
   MarkDirty(job, index, now);
 }
@@ -271,7 +274,8 @@
 }
 
 bool Scheduler::Final(const Job& job) const {
-  return job.cancelled ? job.bound == 0 : job.done == job.spec.tasks;
+  if (job.cancelled) return job.bound == 0 || Removed(Guard::kFinalAfterUnbound);
+  return job.done == job.spec.tasks;
 }
 
 void Scheduler::StopAll(Job& job) {
--- a/src/core/test_guards.h
+++ b/src/core/test_guards.h
@@ -61,7 +61,6 @@
   kLandedByUs,      // a write found in place is ours only if we still lead
   kEpochOfKey,      // the epoch was won with the key that stands
   kNonceOfRun,      // the key is of this run of the process
-  kStepAsideCondition,
   kCount,
 };
 
--- a/src/cover/announcer.cc
+++ b/src/cover/announcer.cc
@@ -1,5 +1,7 @@
 #include "cover/announcer.h"
 
+#include "core/test_guards.h"
+
 namespace magpie {
 namespace {
 constexpr Seconds kNotAgainFor{2};
@@ -49,7 +51,7 @@
     else
       silent_[member] = hooks_.now();
   }
-  return all && !options_.only_when_final;
+  return (all || Removed(Guard::kAllControllersTold)) && !options_.only_when_final;
 }
 
 }  // namespace magpie
--- a/src/cover/cover_keeper.cc
+++ b/src/cover/cover_keeper.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "core/test_guards.h"
 #include "wire/codec.h"
 
 namespace magpie {
@@ -49,9 +50,10 @@
 }
 
 std::optional<Reply> CoverKeeper::Renew(const Report& report, Reply reply) {
-  if (!Covers()) return std::nullopt;
-  DropRuns(reply.commands);
+  if (!Covers() && !Removed(Guard::kJobsReadBeforeRenewal)) return std::nullopt;
+  if (!Removed(Guard::kReplyScreen)) DropRuns(reply.commands);
   for (const TaskReport& entry : report.tasks) {
+    if (Removed(Guard::kStopInReply)) break;
     if (entry.mood == TaskMood::kEnded || !mirror_.Cancelled(entry.task.job)) continue;
     const bool told =
         std::any_of(reply.commands.begin(), reply.commands.end(), [&](const Command& c) {
@@ -65,11 +67,13 @@
 std::optional<Reply> CoverKeeper::Keep(const Report& report) {
   if ((report.token.v & kLowMask) == kLowMask) return std::nullopt;  // no token left
   Reply reply;
-  reply.token = {report.token.v + 1};
+  reply.token = {report.token.v + (Removed(Guard::kFollowerRaises) ? 0 : 1)};
   return Renew(report, std::move(reply));
 }
 
-void CoverKeeper::Screen(Push& push) const { DropRuns(push.commands); }
+void CoverKeeper::Screen(Push& push) const {
+  if (!Removed(Guard::kPushScreen)) DropRuns(push.commands);
+}
 
 void CoverKeeper::DropRuns(std::vector<Command>& commands) const {
   std::erase_if(commands, [&](const Command& c) {
--- a/src/intake/intake.cc
+++ b/src/intake/intake.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <set>
 
+#include "core/test_guards.h"
 #include "state/records.h"
 
 namespace magpie {
@@ -87,8 +88,10 @@
       waiting_.pop_front();
       batch.push_back(next);
       bytes += next->bytes;
-      txn.when.push_back({records::JobKey(next->id), Stamp{0}});
-      txn.when.push_back({records::FinalKey(next->id), Stamp{0}});
+      if (!Removed(Guard::kSubmitCondition)) {
+        txn.when.push_back({records::JobKey(next->id), Stamp{0}});
+        txn.when.push_back({records::FinalKey(next->id), Stamp{0}});
+      }
       txn.apply.push_back({records::JobKey(next->id), next->record, std::nullopt});
     }
     lock.unlock();
--- a/src/state/plan_writer.cc
+++ b/src/state/plan_writer.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "core/test_guards.h"
+
 namespace magpie {
 namespace {
 constexpr Seconds kFirstPause{0.1};
@@ -121,9 +123,9 @@
       const bool deposed = std::any_of(
           compared.failed.begin(), compared.failed.end(),
           [](const std::string& k) { return k == records::kLeader || k == records::kEpoch; });
-      if (deposed) return {End::kDeposed, {}};
+      if (deposed && !Removed(Guard::kLandedByUs)) return {End::kDeposed, {}};
     }
-    if (compared.end != StoreEnd::kOk) {
+    if (compared.end != StoreEnd::kOk && !Removed(Guard::kLandedByUs)) {
       Wait();
       continue;
     }
--- a/src/state/records.cc
+++ b/src/state/records.cc
@@ -2,6 +2,7 @@
 
 #include <charconv>
 
+#include "core/test_guards.h"
 #include "wire/codec.h"
 
 namespace magpie::records {
@@ -92,19 +93,22 @@
 
 Transaction ToTransaction(const WritePlan& plan, const Leadership& leadership) {
   Transaction txn;
-  txn.when.push_back({kLeader, leadership.leader});
-  txn.when.push_back({kEpoch, leadership.epoch});
-  for (const auto& [job, stamp] : plan.jobs) txn.when.push_back({JobKey(job), stamp});
+  const auto when = [&txn](Guard guard, const std::string& key, Stamp stamp) {
+    if (!Removed(guard)) txn.when.push_back({key, stamp});
+  };
+  when(Guard::kLeaderKeyCondition, kLeader, leadership.leader);
+  when(Guard::kEpochCondition, kEpoch, leadership.epoch);
+  for (const auto& [job, stamp] : plan.jobs) when(Guard::kJobCondition, JobKey(job), stamp);
   for (const auto& put : plan.puts) {
-    txn.when.push_back({ToKey(put.key), put.expected});
+    when(Guard::kPageCondition, ToKey(put.key), put.expected);
     txn.apply.push_back({ToKey(put.key), ToJson(put.records), std::nullopt});
   }
   for (const auto& drop : plan.drops) {
-    txn.when.push_back({ToKey(drop.key), drop.expected});
+    when(Guard::kPageCondition, ToKey(drop.key), drop.expected);
     txn.apply.push_back({ToKey(drop.key), std::nullopt, std::nullopt});
   }
   for (const auto& final : plan.finals) {
-    txn.when.push_back({FinalKey(final.job), Stamp{0}});
+    when(Guard::kFinalCondition, FinalKey(final.job), Stamp{0});
     txn.apply.push_back(
         {FinalKey(final.job), ToJson(FinalRecord{final.mood, final.tasks}), std::nullopt});
     txn.apply.push_back({JobKey(final.job), std::nullopt, std::nullopt});
--- a/tests/guard_test.cc
+++ b/tests/guard_test.cc
@@ -24,6 +24,8 @@
   Play play = PlaySeed(seed);
   removed_guards.reset();
   play.broken.erase("stale");  // no rule
+  if (std::getenv("MAGPIE_STORY") != nullptr && !play.broken.empty())
+    std::cout << "seed " << seed << "\n" << play.story;
   return play.broken;
 }
 
--- a/tests/meeting_world.h
+++ b/tests/meeting_world.h
@@ -165,6 +165,8 @@
   void Cover();
   void Work();
   bool Load();
+  bool Read(const records::Leadership& ours);
+  void StartCore();
   void Follow();
   void Write();
   void Push();
@@ -177,9 +179,9 @@
   std::list<Fiber*> waiting_;
   bool ended_ = false;
   bool covering_ = false;
-  bool lead_anew_ = false;
   PlanWriter writer_;
   std::optional<records::Leadership> leadership_;
+  std::optional<records::Leadership> retired_;  // the latest that was given up for good
   std::optional<records::Leadership> writing_for_;
   std::string leader_;
   Stamp epoch_;
@@ -319,6 +321,7 @@
   }
   bool Submit(const std::string& job, std::uint32_t tasks, const std::string& via) {
     if (!Up(via)) return false;
+    submitted.emplace(job, tasks);
     // No time passes in here, so that a submission could not wait for its turn.
     Process& run = *runs.at(via);
     const auto over_rate = std::exchange(run.door.over_rate, [] { return false; });
@@ -520,7 +523,10 @@
       for (const TaskReport& t : m.worker.tasks()) {
         if (t.mood == TaskMood::kEnded) continue;
         const std::string& job = t.task.job.v;
-        if (!live.insert(t.task).second) broken_rules.insert("ran_twice");
+        if (!live.insert(t.task).second && broken_rules.insert("ran_twice").second)
+          breaks += std::to_string(now.v - 100) + " s: " + wire::TaskIdToText(t.task) +
+                    " runs twice, attempt " + std::to_string(t.attempt.v) + " on " +
+                    m.worker.id().v + "\n";
         if (!odd.contains(job)) continue;
         const JobSpec& spec = KeptSpec(job);
         use[spec.team] += spec.each.cpus;
@@ -569,6 +575,7 @@
   // --- drawn time
   std::optional<Draw> draw;
   std::size_t events = 0;
+  std::string breaks;                // when a task first ran twice, for the failure's message
   std::size_t most_events = 200000;  // of a whole run: more is "endless"
   std::function<CallFate(const std::string& label, bool write)> call_fate;
   std::function<void(const std::string& job)> told_news;  // accepted, cancelled or done
@@ -861,9 +868,10 @@
             },
             [] {}, [] {},
             [this](const std::string& to, const std::string& body) -> HttpAnswer {
-              if (!world_.Reaches(label, to) || !world_.Up(to)) return {};
+              if (!world_.Up(to)) return {false, false, 0, {}, world_.Still(to)};
+              if (!world_.Reaches(label, to)) return {false, false, 0, {}, true};
               const HttpResponse r = world_.runs.at(to)->desk.Handle(body, true);
-              if (!world_.Reaches(to, label)) return {true, false, 0, {}};
+              if (!world_.Reaches(to, label)) return {true, false, 0, {}, true};
               return {true, true, r.status, r.body};
             }}),
       world_(world),
@@ -953,7 +961,6 @@
 }
 
 inline void Process::Adopt() {
-  if (std::exchange(lead_anew_, false)) membership.StepAside();
   const Membership::View& view = membership.Step();
   cut_off_ = !view.reached;
   if (!view.reached) return;
@@ -961,16 +968,30 @@
   if (leader_ != view.leader) desk.LeaderChanged();
   leader_ = view.leader;
   epoch_ = view.epoch;
+  if (view.leadership && view.leadership == retired_) {
+    if (world_.draw) membership.StepAside();  // as Controller::MembershipLoop
+    return;
+  }
   if (view.leadership == leadership_) return;
   core.Stop();
   leadership_ = view.leadership;
-  if (leadership_)
-    core.Start(leadership_->epoch, label + "-" + std::to_string(leadership_->epoch.v) + "-",
-               world_.now);
+  if (leadership_) StartCore();
 }
 
+// As Controller::LeaderLoop: a read that failed is begun anew, with nothing of the first.
 inline bool Process::Load() {
   const auto ours = leadership_;
+  if (Read(*ours)) return true;
+  if (leadership_ == ours) StartCore();
+  return false;
+}
+
+inline void Process::StartCore() {
+  core.Start(leadership_->epoch, label + "-" + std::to_string(leadership_->epoch.v) + "-",
+             world_.now);
+}
+
+inline bool Process::Read(const records::Leadership& ours) {
   followed_ = {};
   if (world_.leader_begins) world_.leader_begins();
   for (const char* prefix : {records::kJobs, records::kBlocks, records::kPages}) {
@@ -987,6 +1008,9 @@
       }
     }
   }
+  const Transaction still_leading{{{records::kLeader, ours.leader}, {records::kEpoch, ours.epoch}},
+                                  {}};
+  if (door.Commit(still_leading).end != StoreEnd::kOk || leadership_ != ours) return false;
   core.FinishLoad(world_.now);
   if (world_.leader_begins) world_.leader_begins();
   return true;
@@ -1014,11 +1038,14 @@
     const records::Leadership ours = *leadership_;
     writing_for_ = ours;
     const WriteOutcome outcome = writer_.Write(plan, ours);
-    if (outcome.stale) {
-      ++world_.stale;
-      lead_anew_ = true;
-    }
+    if (outcome.stale) ++world_.stale;
     if (leadership_ != ours) return;
+    if (outcome.deposed || outcome.stale) {  // as Controller::Retire
+      core.Stop();
+      retired_ = std::exchange(leadership_, std::nullopt);
+      if (outcome.stale && !world_.draw) membership.StepAside();
+      return;
+    }
     if (outcome.end == WriteOutcome::End::kWritten) {
       core.OnWritten(plan, outcome.stamp, world_.now);
     } else if (outcome.end == WriteOutcome::End::kRejected) {
@@ -1026,7 +1053,6 @@
         core.LoadJob(job.record.spec, job.record.over(), job.stamp);
       core.OnWriteRejected(plan);
     }
-    if (outcome.stale) return;
   }
 }
 
@@ -1120,7 +1146,6 @@
   Follow();
   core.Tick(world_.now, world_.wall);
   Write();
-  if (std::exchange(lead_anew_, false)) membership.StepAside();
   Push();
   Probe();
   Cloud();
--- a/tests/sweep.cc
+++ b/tests/sweep.cc
@@ -50,6 +50,7 @@
     play_.broken.insert(w_.broken_rules.begin(), w_.broken_rules.end());
     if (w_.stale > 0) play_.broken.insert("stale");
     play_.events = w_.events;
+    play_.story += w_.breaks;
     return std::move(play_);
   }
 
