--- a/src/app/job_api.cc
+++ b/src/app/job_api.cc
@@ -232,7 +232,8 @@
       if (!Removed(Guard::kCancelCondition)) txn.when.push_back({records::JobKey(id), stamp});
       const TxnResult result = store_.Commit(txn);
       if (result.end == StoreEnd::kOk) stamp = result.tick;
-      if (result.end != StoreEnd::kOk && result.end != StoreEnd::kConflict) wait();
+      // Without an answer the job is read again at once, which shows what became of it.
+      if (result.end == StoreEnd::kRefused || result.end == StoreEnd::kBad) wait();
       return result.end == StoreEnd::kOk;
     };
     const bool stopping =
