--- a/tests/guard_test.cc
+++ b/tests/guard_test.cc
@@ -59,5 +59,42 @@
   std::cout << "\n";
 }
 
+struct TakenOut {
+  const char* name;
+  Guard guard;
+};
+
+std::ostream& operator<<(std::ostream& out, const TakenOut& row) { return out << row.name; }
+
+class GuardTakenOut : public ::testing::TestWithParam<TakenOut> {};
+
+// The first seeds that find them are in docs/notes/meetings.md; the last is seed 49.
+TEST_P(GuardTakenOut, IsFoundByASeed) {
+  constexpr std::uint64_t kSeeds = 60;
+  bool found = false;
+  for (std::uint64_t seed = 1; seed <= kSeeds && !found; ++seed)
+    found = !PlayWithout({GetParam().guard}, seed).empty();
+  EXPECT_TRUE(found);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Rows, GuardTakenOut,
+    ::testing::Values(TakenOut{"PageCondition", Guard::kPageCondition},
+                      TakenOut{"SubmitCondition", Guard::kSubmitCondition},
+                      TakenOut{"FinalAfterUnbound", Guard::kFinalAfterUnbound},
+                      TakenOut{"ResultOfUnboundAlone", Guard::kResultOfUnboundAlone},
+                      TakenOut{"AllControllersTold", Guard::kAllControllersTold},
+                      TakenOut{"CancelCondition", Guard::kCancelCondition},
+                      TakenOut{"ReadAfterQuestion", Guard::kReadAfterQuestion},
+                      TakenOut{"LiveBeforeFinal", Guard::kLiveBeforeFinal},
+                      TakenOut{"RunOfDurableAlone", Guard::kRunOfDurableAlone},
+                      TakenOut{"MayStart", Guard::kMayStart},
+                      TakenOut{"ReadLatestRecord", Guard::kReadLatestRecord},
+                      TakenOut{"FenceSeen", Guard::kFenceSeen},
+                      TakenOut{"RaiseAfterNoAnswer", Guard::kRaiseAfterNoAnswer},
+                      TakenOut{"ReportOrder", Guard::kReportOrder},
+                      TakenOut{"EndBeforeOurTerm", Guard::kEndBeforeOurTerm}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 }  // namespace
 }  // namespace magpie::testing
