An end that stood there before is no proof that a write with it landed

Cause: an old event of the watch may bring back a job that an earlier write made final, since the job is dropped when that write is answered. Its end is then written once more, along with whatever else there is, and refused, as the end is there. If that answer is lost, the read back found the end, equal to ours, and took the whole transaction for carried out: bindings that were never durable were started.

Change: a page proves the whole, as the leader alone writes it; without one each end must be there.

--- a/src/state/plan_writer.cc
+++ b/src/state/plan_writer.cc
@@ -90,45 +90,58 @@
   return std::nullopt;
 }
 
-// Reads one of the keys that the transaction changes. Only the leader writes them, so equal
-// contents at a new stamp are ours, and other contents say that nothing of it was written, both
-// only as long as we still led when they stood there: the next leader may write the very same
-// end of a job. Taken for ours, it passed for a proof that the bindings of the same transaction,
-// which had never landed, were durable.
+// Whether what the plan changes is there. A page at a newer stamp than the one in the books is
+// proof of the whole, since the leader alone writes it, one transaction at a time. An end is not:
+// an old event may bring back a job that an earlier write of ours made final, and its end, there
+// already, passed for a proof that the bindings of the same transaction were durable. So without
+// a page each end must be there.
+PlanWriter::Found PlanWriter::Find(const WritePlan& plan) {
+  Found found;
+  const auto look = [&](const std::string& key, const std::optional<Json>& expected, Stamp before) {
+    const GetResult got = store_.Get(key);
+    found.answered = got.end == StoreEnd::kOk;
+    const Stamp stamp = got.entry ? got.entry->stamp : Stamp{};
+    found.there =
+        found.answered && (expected ? got.entry && got.entry->value == *expected && stamp > before
+                                    : !got.entry.has_value());
+    found.key = {key, stamp};
+    return found.there;
+  };
+  if (!plan.puts.empty()) {
+    const WritePlan::Put& put = plan.puts.front();
+    look(records::ToKey(put.key), records::ToJson(put.records), put.expected);
+    return found;
+  }
+  if (!plan.finals.empty()) {
+    for (const WritePlan::Final& final : plan.finals) {
+      const Json record = records::ToJson(records::FinalRecord{final.mood, final.tasks});
+      if (!look(records::FinalKey(final.job), record, Stamp{})) break;
+    }
+    return found;
+  }
+  if (!plan.drops.empty()) look(records::ToKey(plan.drops.front().key), std::nullopt, Stamp{});
+  return found;
+}
+
+// Contents equal to ours are ours, and others say that nothing of the plan was written, both only
+// as long as we still led when they stood there: the next leader may write the very same end of a
+// job. Taken for ours, it passed for a proof that the bindings of the same transaction, which had
+// never landed, were durable.
 PlanWriter::EarlierTries PlanWriter::ReadBack(const WritePlan& plan,
                                               const records::Leadership& leadership,
                                               bool conflicted) {
   using End = EarlierTries::End;
-  std::string key;
-  std::optional<Json> expected;  // none: the key is dropped
-  Stamp before;
-  if (!plan.finals.empty()) {
-    const WritePlan::Final& final = plan.finals.front();
-    key = records::FinalKey(final.job);
-    expected = records::ToJson(records::FinalRecord{final.mood, final.tasks});
-  } else if (!plan.puts.empty()) {
-    const WritePlan::Put& put = plan.puts.front();
-    key = records::ToKey(put.key);
-    expected = records::ToJson(put.records);
-    before = put.expected;
-  } else if (!plan.drops.empty()) {
-    key = records::ToKey(plan.drops.front().key);
-  } else {
-    return {End::kNotCarriedOut, {}};
-  }
+  if (plan.empty()) return {End::kNotCarriedOut, {}};
   while (hooks_.still_leading()) {
-    const GetResult got = store_.Get(key);
-    if (got.end != StoreEnd::kOk) {
+    const Found found = Find(plan);
+    if (!found.answered) {
       Wait();
       continue;
     }
-    const Stamp stamp = got.entry ? got.entry->stamp : Stamp{};
-    const bool ours = expected ? got.entry && got.entry->value == *expected && stamp > before
-                               : !got.entry.has_value();
     // The repetition has the leadership among its conditions: no need to ask for it here as well.
-    if (!ours && !conflicted) return {End::kNotCarriedOut, {}};
+    if (!found.there && !conflicted) return {End::kNotCarriedOut, {}};
     const Transaction still_leading{
-        {{records::kLeader, leadership.leader}, {records::kEpoch, leadership.epoch}, {key, stamp}},
+        {{records::kLeader, leadership.leader}, {records::kEpoch, leadership.epoch}, found.key},
         {}};
     const TxnResult compared = store_.Commit(still_leading);
     if (compared.end == StoreEnd::kConflict) {
@@ -141,7 +154,8 @@
       Wait();
       continue;
     }
-    return ours ? EarlierTries{End::kCarriedOut, stamp} : EarlierTries{End::kNotCarriedOut, {}};
+    return found.there ? EarlierTries{End::kCarriedOut, found.key.stamp}
+                       : EarlierTries{End::kNotCarriedOut, {}};
   }
   return {End::kGivenUp, {}};
 }
--- a/src/state/plan_writer.h
+++ b/src/state/plan_writer.h
@@ -53,7 +53,14 @@
     enum class End { kCarriedOut, kNotCarriedOut, kDeposed, kGivenUp } end = End::kGivenUp;
     Stamp stamp;  // if carried out
   };
+  // What a look at the keys that a plan changes has shown.
+  struct Found {
+    bool answered = false;  // by the state service
+    bool there = false;     // what the plan writes
+    Condition key;          // that was looked at last, as it is
+  };
   void Wait();
+  Found Find(const WritePlan& plan);
   WriteOutcome AfterConflict(const WritePlan& plan, const records::Leadership& leadership,
                              const std::vector<std::string>& failed, bool uncertain);
   static std::optional<WriteOutcome> OutcomeOf(const EarlierTries& earlier);
--- a/tests/meeting_test.cc
+++ b/tests/meeting_test.cc
@@ -458,6 +458,18 @@
   }
 }
 
+// An old event brought back a job that an earlier write had made final. Its end, made once more
+// along with a binding, was refused, and that answer was lost: the end that stood there passed for
+// a proof that the binding had landed. Found by a seed of the sweep, which called the books stale.
+TEST_F(LateWrites, AnEndThatWasThereBeforeIsNoProofOfTheRest) {
+  const auto [before, plan] = AnEndAndABinding();
+  const Json end = records::ToJson(records::FinalRecord{FinalMood::kDone, 1});
+  ASSERT_EQ(store.Commit({{}, {{"f/j-2", end, std::nullopt}}}).end, StoreEnd::kOk);
+  store.next_commit = FakeStore::Fault::kLoseAnswer;
+  EXPECT_EQ(before->Finish(plan, now).end, WriteOutcome::End::kRejected);
+  EXPECT_FALSE(before->core.NextPush(now)) << "no binding is durable that it could start";
+}
+
 // The same where the lead is lost between the conflict and the look at what stands there.
 TEST_F(LateWrites, WhatStandsThereIsOursOnlyWhileWeLead) {
   const auto [before, plan] = AnEndAndABinding();
