Read again: one clock, one test of a lost lead, one renewal, fewer looks at limits

The conditions of a leadership and the look whether a conflict tells of its loss stood in the plan writer twice, the controller and the tests' world: records::ConditionsOf and TellsOfDeposition. The state client and the scale run read the steady clock anew: SteadyNow, now in clock/, below both. An answer that renews a lease was put together three times. A task's place asks the limit once where it mostly asked twice. Two unused vectors of the takeover's read and a second copy of a test's listener are gone. Behaviour is as it was; the tests keep their assertions.

--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -8,7 +8,6 @@
 #include <list>
 #include <random>
 
-#include "app/clock.h"
 #include "state/plan_writer.h"
 #include "state/records.h"
 #include "wire/codec.h"
@@ -596,8 +595,7 @@
 // Asks the state service until it answers, as long as we lead by our own view: a lost answer is
 // no reason to read everything again.
 bool Controller::StandsInRecords(const Leadership& leadership) {
-  const Transaction compare{
-      {{records::kLeader, leadership.leader}, {records::kEpoch, leadership.epoch}}, {}};
+  const Transaction compare{records::ConditionsOf(leadership), {}};
   Backoff backoff = LoopBackoff();
   while (StillLeading(leadership)) {
     const StoreEnd end = store_.Commit(compare).end;
@@ -609,8 +607,6 @@
 }
 
 bool Controller::Load(const Leadership& leadership, Stamp& tick) {
-  std::vector<records::JobRecord> jobs;
-  std::vector<Stamp> stamps;
   for (const char* prefix : {records::kJobs, records::kBlocks, records::kPages}) {
     std::string after;
     for (bool more = true; more;) {
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -9,12 +9,12 @@
 #include <thread>
 #include <vector>
 
-#include "app/clock.h"
 #include "app/job_api.h"
 #include "app/membership.h"
 #include "app/presence.h"
 #include "app/report_desk.h"
 #include "app/settings.h"
+#include "clock/clock.h"
 #include "cloud/cloud_client.h"
 #include "core/scheduler.h"
 #include "cover/announcer.h"
--- a/src/app/report_desk.cc
+++ b/src/app/report_desk.cc
@@ -9,6 +9,10 @@
 
 HttpResponse Plain(int status, const char* body = "{}") { return {status, body}; }
 
+HttpResponse Renewed(const Reply& reply) {
+  return {200, wire::ReplyToJson(reply.token, reply.commands).dump()};
+}
+
 }  // namespace
 
 ReportDesk::ReportDesk(Options options, std::mutex& mutex, Scheduler& core, Fitness& fitness,
@@ -51,7 +55,7 @@
         // What it said is taken in all the same; its lease must not be renewed.
         const auto answer = cover_.Renew(report, std::move(reply));
         if (!answer) return Plain(503, R"({"error":"not covered"})");
-        return {200, wire::ReplyToJson(answer->token, answer->commands).dump()};
+        return Renewed(*answer);
       }
       spdlog::debug("{} has seen a later token", report.machine.v);
     }
@@ -70,8 +74,7 @@
     // Nobody led when we lost the state service: whoever leads by now, the worker has not
     // reached it, and nobody else can tell it where to go.
     if (leader.empty() && around.cut_off && EpochOf(report.token) <= around.epoch)
-      if (const auto kept = cover_.Keep(report))
-        return {200, wire::ReplyToJson(kept->token, kept->commands).dump()};
+      if (const auto kept = cover_.Keep(report)) return Renewed(*kept);
     // It has talked to the present leader and now comes here, or we sent it
     // there and it is back: it can't reach the leader, but we may. A leader that we can't
     // reach, or that we know of from before we lost the state service, is one to send nobody to.
@@ -109,8 +112,7 @@
       if (try_it) reach_.Failed(now, answer.timed_out);
       const Around around = hooks_.around();
       if (reach_.KeepsLease(report.token, around.epoch, around.cut_off, now))
-        if (const auto kept = cover_.Keep(report))
-          return {200, wire::ReplyToJson(kept->token, kept->commands).dump()};
+        if (const auto kept = cover_.Keep(report)) return Renewed(*kept);
       return Plain(421);
     }
   }
--- a/src/app/clock.h
+++ b/src/clock/clock.h
@@ -1,4 +1,4 @@
-// The process's clocks.
+// The process's clocks, for the shells round the core, which reads none.
 #pragma once
 
 #include <chrono>
--- a/src/core/task_placement.cc
+++ b/src/core/task_placement.cc
@@ -191,14 +191,16 @@
   std::size_t waiting = 0;
   const bool limited = planned.most != Blame::kAll;
   std::uint32_t left = planned.most;
-  while (job.pending.size() > waiting && budget > 0 && left > 0 &&
-         WithinLimit(job, plan.use_soon, job.spec.each)) {
+  while (job.pending.size() > waiting && budget > 0 && left > 0) {
+    // What is used soon is a part of what is used, so that this mostly takes one look.
+    const bool within = WithinLimit(job, plan.use, job.spec.each);
+    if (!within && !WithinLimit(job, plan.use_soon, job.spec.each)) break;
     --budget;
     --left;
     if (alike != nullptr && *alike > 0) --*alike;
     const auto pick = places.Pick();
     // Beyond the quota that holds far ahead leave, nothing is held, rented or stopped for.
-    if (!WithinLimit(job, plan.use, job.spec.each) && (!pick || !pick->choice.now)) return;
+    if (!within && (!pick || !pick->choice.now)) return;
     const bool in_time = pick && Slack(due.target, pick->choice, options_.weights).v >= 0;
     const bool at_once = pick && pick->choice.now;
     const bool late = !pick || Slack(due.rent_target, pick->choice, options_.weights).v < 0;
--- a/src/scale/event_loop.cc
+++ b/src/scale/event_loop.cc
@@ -5,6 +5,8 @@
 #include <set>
 #include <utility>
 
+#include "clock/clock.h"
+
 // Boost 1.74 uses std::exchange without including it, so <utility> comes first.
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -291,10 +293,7 @@
 void EventLoop::Stop() { impl_->io.stop(); }
 void EventLoop::Post(std::function<void()> work) { asio::post(impl_->io, std::move(work)); }
 
-Instant EventLoop::Now() {
-  const auto now = std::chrono::steady_clock::now().time_since_epoch();
-  return {std::chrono::duration<double>(now).count()};
-}
+Instant EventLoop::Now() { return SteadyNow(); }
 
 std::unique_ptr<EventLoop::Timer> EventLoop::MakeTimer(std::function<void()> due) {
   return std::make_unique<AsioTimer>(impl_->io, std::move(due));
--- a/src/state/http_store.cc
+++ b/src/state/http_store.cc
@@ -2,7 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
-#include <chrono>
+#include "clock/clock.h"
 
 namespace magpie {
 namespace {
@@ -18,17 +18,6 @@
   return StoreEnd::kUnknown;
 }
 
-class Stopwatch {
- public:
-  Seconds Passed() const {
-    const std::chrono::duration<double> passed = std::chrono::steady_clock::now() - begin_;
-    return {passed.count()};
-  }
-
- private:
-  std::chrono::steady_clock::time_point begin_ = std::chrono::steady_clock::now();
-};
-
 StoreEntry EntryOf(const Json& o) {
   return {o.at("path").get<std::string>(), o.at("v"), {o.at("stamp").get<std::uint64_t>()}};
 }
@@ -72,11 +61,11 @@
 
 // A read that is answered at once, and tells how quick the service is.
 HttpAnswer HttpStore::Read(const std::string& path) {
-  const Stopwatch watch;
+  const Instant begin = SteadyNow();
   HttpAnswer answer = client_.Get(path);
   if (answer.answered) {
     std::lock_guard lock(mutex_);
-    answer_timeout_.ReadAnswered(watch.Passed());
+    answer_timeout_.ReadAnswered(SteadyNow() - begin);
   }
   return answer;
 }
@@ -108,12 +97,12 @@
     std::lock_guard lock(mutex_);
     limit = answer_timeout_.Limit();
   }
-  const Stopwatch watch;
+  const Instant begin = SteadyNow();
   const HttpAnswer answer = client_.Post("/txn", body, limit);
   if (answer.sent) {
     std::lock_guard lock(mutex_);
     if (answer.answered)
-      answer_timeout_.TransactionAnswered(watch.Passed());
+      answer_timeout_.TransactionAnswered(SteadyNow() - begin);
     else
       answer_timeout_.TransactionUnanswered();
   }
--- a/src/state/plan_writer.cc
+++ b/src/state/plan_writer.cc
@@ -2,8 +2,6 @@
 
 #include <spdlog/spdlog.h>
 
-#include <algorithm>
-
 #include "core/test_guards.h"
 
 namespace magpie {
@@ -56,8 +54,7 @@
                                        const std::vector<std::string>& failed, bool uncertain) {
   using End = WriteOutcome::End;
   WriteOutcome outcome;
-  for (const std::string& key : failed)
-    outcome.deposed |= key == records::kLeader || key == records::kEpoch;
+  outcome.deposed = records::TellsOfDeposition(failed);
   if (outcome.deposed) {
     outcome.end = uncertain ? End::kUnknown : End::kRejected;
     return outcome;
@@ -140,16 +137,12 @@
     }
     // The repetition has the leadership among its conditions: no need to ask for it here as well.
     if (!found.there && !conflicted) return {End::kNotCarriedOut, {}};
-    const Transaction still_leading{
-        {{records::kLeader, leadership.leader}, {records::kEpoch, leadership.epoch}, found.key},
-        {}};
+    Transaction still_leading{records::ConditionsOf(leadership), {}};
+    still_leading.when.push_back(found.key);
     const TxnResult compared = store_.Commit(still_leading);
-    if (compared.end == StoreEnd::kConflict) {
-      const bool deposed = std::any_of(
-          compared.failed.begin(), compared.failed.end(),
-          [](const std::string& k) { return k == records::kLeader || k == records::kEpoch; });
-      if (deposed && !Removed(Guard::kLandedByUs)) return {End::kDeposed, {}};
-    }
+    const bool deposed =
+        compared.end == StoreEnd::kConflict && records::TellsOfDeposition(compared.failed);
+    if (deposed && !Removed(Guard::kLandedByUs)) return {End::kDeposed, {}};
     if (compared.end != StoreEnd::kOk && !Removed(Guard::kLandedByUs)) {
       Wait();
       continue;
--- a/src/state/records.cc
+++ b/src/state/records.cc
@@ -1,5 +1,6 @@
 #include "state/records.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include "core/test_guards.h"
@@ -91,6 +92,15 @@
           value.at("tasks").get<std::uint32_t>()};
 }
 
+std::vector<Condition> ConditionsOf(const Leadership& leadership) {
+  return {{kLeader, leadership.leader}, {kEpoch, leadership.epoch}};
+}
+
+bool TellsOfDeposition(const std::vector<std::string>& failed) {
+  return std::any_of(failed.begin(), failed.end(),
+                     [](const std::string& key) { return key == kLeader || key == kEpoch; });
+}
+
 Transaction ToTransaction(const WritePlan& plan, const Leadership& leadership) {
   Transaction txn;
   const auto when = [&txn](Guard guard, const std::string& key, Stamp stamp) {
--- a/src/state/records.h
+++ b/src/state/records.h
@@ -63,6 +63,11 @@
   auto operator<=>(const Leadership&) const = default;
 };
 
+// That hold as long as the leadership stands.
+std::vector<Condition> ConditionsOf(const Leadership& leadership);
+// Whether one of these conditions is among those that failed: for good, as stamps only grow.
+bool TellsOfDeposition(const std::vector<std::string>& failed);
+
 // The transaction that carries out a plan under the given leadership.
 Transaction ToTransaction(const WritePlan& plan, const Leadership& leadership);
 
--- a/tests/codec_test.cc
+++ b/tests/codec_test.cc
@@ -203,17 +203,23 @@
   EXPECT_TRUE(Presence(users).Admits(false)) << "the place is free again";
 }
 
-// Each system call and packet is paid for: a small request is one packet, head
-// and body, and its connection serves the next one.
-TEST(HttpClient, ARequestIsOneSendOverAKeptConnection) {
-  const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in addr{};
+// A listening socket on a free port of the loopback, and its address.
+void Listen(int& listener, sockaddr_in& addr) {
+  listener = ::socket(AF_INET, SOCK_STREAM, 0);
   addr.sin_family = AF_INET;
   addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t size = sizeof addr;
   ASSERT_EQ(bind(listener, reinterpret_cast<sockaddr*>(&addr), size), 0);
   ASSERT_EQ(listen(listener, 4), 0);
   getsockname(listener, reinterpret_cast<sockaddr*>(&addr), &size);
+}
+
+// Each system call and packet is paid for: a small request is one packet, head
+// and body, and its connection serves the next one.
+TEST(HttpClient, ARequestIsOneSendOverAKeptConnection) {
+  int listener = -1;
+  sockaddr_in addr{};
+  ASSERT_NO_FATAL_FAILURE(Listen(listener, addr));
   std::vector<std::string> got;
   std::thread peer([&] {
     const int socket = accept(listener, nullptr, nullptr);
@@ -253,14 +259,9 @@
 
 // A lease is kept without the leader when it is silent, as over a cut, not when it ended.
 TEST(HttpClient, TellsSilenceFromAClosedConnection) {
-  const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+  int listener = -1;
   sockaddr_in addr{};
-  addr.sin_family = AF_INET;
-  addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof addr;
-  ASSERT_EQ(bind(listener, reinterpret_cast<sockaddr*>(&addr), size), 0);
-  ASSERT_EQ(listen(listener, 4), 0);
-  getsockname(listener, reinterpret_cast<sockaddr*>(&addr), &size);
+  ASSERT_NO_FATAL_FAILURE(Listen(listener, addr));
   HttpClient client({"127.0.0.1", ntohs(addr.sin_port)}, Seconds{1}, Seconds{0.05}, 2);
   const HttpAnswer silent = client.Post("/x", "{}");
   EXPECT_TRUE(silent.sent);
--- a/tests/meeting_world.h
+++ b/tests/meeting_world.h
@@ -1008,8 +1008,7 @@
       }
     }
   }
-  const Transaction still_leading{{{records::kLeader, ours.leader}, {records::kEpoch, ours.epoch}},
-                                  {}};
+  const Transaction still_leading{records::ConditionsOf(ours), {}};
   if (door.Commit(still_leading).end != StoreEnd::kOk || leadership_ != ours) return false;
   core.FinishLoad(world_.now);
   if (world_.leader_begins) world_.leader_begins();
