Log why an attempt was started, given up and fenced, and under which token

The records of the incident could not tell why attempt 1 of a task was forgotten under the token that had started it: nothing was logged between `bind` and the next leader's start.

New at info: a machine's fence that was raised, with its reason; the first token of a term; the revision at which a term's records were read. Debug lines are built only if the level is debug.

--- a/src/controller/command_delivery.cc
+++ b/src/controller/command_delivery.cc
@@ -15,6 +15,20 @@
 // thread for the whole timeout, and a hundred may hang at the same time.
 constexpr Seconds kProbeTimeout{1};
 
+void LogResult(const DirectCommand& command, const DirectCommandResult& result) {
+  if (result.status != DeliveryStatus::kAnswered) {
+    spdlog::debug("command failed machine={} token={} agent_epoch={} reason={}",
+                  command.machine.value, command.token.value, command.agent_epoch,
+                  result.status == DeliveryStatus::kNotSent ? "not_sent" : "no_answer");
+    return;
+  }
+  spdlog::debug(
+      "command answered machine={} token={} agent_epoch={} commands={} seen_token={} "
+      "answer_agent_epoch={} sequence={}",
+      command.machine.value, command.token.value, command.agent_epoch, command.commands.size(),
+      result.heartbeat->token.value, result.heartbeat->agent_epoch, result.heartbeat->sequence);
+}
+
 }  // namespace
 
 void DeliverCommand(LeaderState& state, const DirectCommand& command) {
@@ -29,9 +43,7 @@
     state.NotifyCommandThreads();
     state.RequestPlanningIfWanted();
   }
-  if (!answered)
-    spdlog::debug("command failed machine={} reason={}", command.machine.value,
-                  result.status == DeliveryStatus::kNotSent ? "not_sent" : "no_answer");
+  LogResult(command, result);
 }
 
 }  // namespace magpie
--- a/src/controller/heartbeat_handler.cc
+++ b/src/controller/heartbeat_handler.cc
@@ -21,6 +21,13 @@
   return {200, protocol::HeartbeatResponseToJson(response.token, response.commands).dump()};
 }
 
+HttpResponse RenewalByFollower(const Heartbeat& heartbeat, const HeartbeatResponse& response) {
+  spdlog::debug("lease renewed machine={} token={} seen_token={} agent_epoch={} by=follower",
+                heartbeat.machine.value, response.token.value, heartbeat.token.value,
+                heartbeat.agent_epoch);
+  return RenewalResponse(response);
+}
+
 }  // namespace
 
 HeartbeatHandler::HeartbeatHandler(Options options, std::mutex& mutex, Scheduler& scheduler,
@@ -67,7 +74,8 @@
   HeartbeatResponse response = scheduler_.OnHeartbeat(heartbeat, now, relayed);
   if (response.redirect_to_leader) return RedirectToAnyPeer();
   if (!response.accepted) {
-    spdlog::debug("heartbeat rejected machine={} reason=later_token", heartbeat.machine.value);
+    spdlog::debug("heartbeat rejected machine={} seen_token={} reason=later_token",
+                  heartbeat.machine.value, heartbeat.token.value);
     return std::nullopt;
   }
   hooks_.on_heartbeat_applied();
@@ -97,7 +105,7 @@
   if (redirection.leader.empty() && cluster_view.partitioned &&
       EpochOf(heartbeat.token) <= cluster_view.epoch) {
     if (const auto response = cancellations_.FollowerResponse(heartbeat)) {
-      redirection.renewal = RenewalResponse(*response);
+      redirection.renewal = RenewalByFollower(heartbeat, *response);
       return redirection;
     }
   }
@@ -153,7 +161,7 @@
   if (leader_reachability_.MayRenewLease(heartbeat.token, cluster_view.epoch,
                                          cluster_view.partitioned, now))
     if (const auto response = cancellations_.FollowerResponse(heartbeat))
-      return RenewalResponse(*response);
+      return RenewalByFollower(heartbeat, *response);
   return RedirectToAnyPeer();
 }
 
--- a/src/controller/leader_state.cc
+++ b/src/controller/leader_state.cc
@@ -41,7 +41,8 @@
   if (leadership_) {
     timeline_.Record(FailoverTimeline::Step::kElected, SteadyNow());
     health_.OnElected(SteadyNow());
-    spdlog::info("leadership acquired epoch={}", leadership_->epoch.value);
+    spdlog::info("leadership acquired epoch={} token={}", leadership_->epoch.value,
+                 FirstFencingToken(leadership_->epoch).value);
     RestartScheduler();
   } else {
     spdlog::info("leadership lost leader={}", view.leader.empty() ? "none" : view.leader);
--- a/src/controller/planning_loop.cc
+++ b/src/controller/planning_loop.cc
@@ -94,7 +94,8 @@
 }
 
 void PlanningLoop::Log(const RoundLog& log) const {
-  for (const std::string& decision : log.decisions) spdlog::debug("{}", decision);
+  for (const DecisionLog::Line& decision : log.decisions)
+    spdlog::log(decision.notice ? spdlog::level::info : spdlog::level::debug, "{}", decision.text);
   if (log.failover_line) spdlog::info("{}", *log.failover_line);
   if (log.metrics)
     spdlog::info("{}",
--- a/src/controller/planning_loop.h
+++ b/src/controller/planning_loop.h
@@ -34,7 +34,7 @@
  private:
   // The log output of one round, written after the mutex is released.
   struct RoundLog {
-    std::vector<std::string> decisions;
+    std::vector<DecisionLog::Line> decisions;
     std::optional<std::string> failover_line;
     std::optional<ServiceMetrics::Table> metrics;
   };
--- a/src/controller/takeover_loop.cc
+++ b/src/controller/takeover_loop.cc
@@ -81,7 +81,8 @@
     FinishLoad();
     status = state_.scheduler().GetStatus();
   }
-  spdlog::info("records loaded jobs={} bound_tasks={}", status.jobs, status.bound);
+  spdlog::info("records loaded jobs={} bound_tasks={} epoch={} revision={}", status.jobs,
+               status.bound, leadership.epoch.value, first_read.value);
   return {LoadStatus::kLoaded, first_read};
 }
 
--- a/src/scheduling/cloud_coordinator.cc
+++ b/src/scheduling/cloud_coordinator.cc
@@ -116,9 +116,10 @@
   if (machine->awaiting_reconciliation) --state_.reconciliation.unreconciled;
   const std::vector<HeldTask> tasks = machine->tasks;
   for (const HeldTask& held : tasks) {
-    lifecycle_.FinishAttempt(*held.job, held.index, now);
+    constexpr UnbindReason kReason = UnbindReason::kMachineReleased;
+    lifecycle_.FinishAttempt(*held.job, held.index, kReason, now);
     // An ended task stays on its machine until its end is durable; the machine no longer exists.
-    if (held.task().machine != nullptr) lifecycle_.Unbind(*held.job, held.index, now);
+    if (held.task().machine != nullptr) lifecycle_.Unbind(*held.job, held.index, kReason, now);
   }
   pending_releases_.erase(id);
   state_.machines.Remove(*machine);
--- a/src/scheduling/cluster_state.h
+++ b/src/scheduling/cluster_state.h
@@ -74,22 +74,28 @@
   std::size_t unreconciled = 0;  // of these, not removed and without a heartbeat since then
 };
 
-// Texts of scheduling decisions for the controller's log. They are recorded only if the options
-// enable it.
+// Scheduling decisions for the controller's log.
 class DecisionLog {
  public:
+  struct Line {
+    bool notice = false;  // rare, and logged even if other decisions are not
+    std::string text;
+  };
+
+  // `enabled`: whether decisions that are not notices are recorded.
   explicit DecisionLog(bool enabled) : enabled_(enabled) {}
   // Callers in hot loops check this first, so that they do not build texts that are discarded.
   bool enabled() const { return enabled_; }
   void Add(std::string text) {
-    if (enabled_) decisions_.push_back(std::move(text));
+    if (enabled_) lines_.push_back({false, std::move(text)});
   }
-  // Returns the texts added since the last call.
-  std::vector<std::string> TakeAll() { return std::exchange(decisions_, {}); }
+  void AddNotice(std::string text) { lines_.push_back({true, std::move(text)}); }
+  // Returns the lines added since the last call.
+  std::vector<Line> TakeAll() { return std::exchange(lines_, {}); }
 
  private:
   bool enabled_;
-  std::vector<std::string> decisions_;
+  std::vector<Line> lines_;
 };
 
 // Not thread-safe: it belongs to one scheduler.
--- a/src/scheduling/command_dispatcher.cc
+++ b/src/scheduling/command_dispatcher.cc
@@ -5,6 +5,7 @@
 
 #include "model/safety_checks.h"
 #include "scheduling/fencing.h"
+#include "scheduling/fencing_log.h"
 
 namespace magpie {
 namespace {
@@ -27,6 +28,7 @@
         MakeDirectCommand(*machine, command_builder_.CommandsFor(*machine));
     if (direct_command.commands.empty()) continue;
     RecordStarts(*machine, direct_command);
+    LogCommands(state_.decisions, *machine, direct_command.commands, CommandPath::kDirectCommand);
     state_.counters.commands_issued += direct_command.commands.size();
     machine->command_in_flight = true;
     return direct_command;
@@ -64,6 +66,7 @@
       if (!IsDisabled(SafetyCheck::kRaiseAfterNoAnswer)) {
         machine.token = std::max(machine.token, FencingToken{direct_command.token.value + 1});
         machine.fencing_token = machine.token;
+        LogFenceRaised(state_.decisions, machine, FenceReason::kNoAnswer);
       }
       machine.next_command_at = now + kCommandRetryDelay;
       break;
--- a/src/scheduling/heartbeat_processor.cc
+++ b/src/scheduling/heartbeat_processor.cc
@@ -49,6 +49,7 @@
   Apply(machine, heartbeat, MessageSource::kHeartbeat, now);
   response.commands = command_builder_.CommandsFor(machine);
   response.token = machine.token;  // may have been raised for attempts that were given up
+  LogCommands(state_.decisions, machine, response.commands, CommandPath::kHeartbeatResponse);
   state_.counters.commands_issued += response.commands.size();
   for (const Command& command : response.commands)
     if (command.kind == CommandKind::kRun) machine.response_in_flight = true;
@@ -104,6 +105,7 @@
   machine.token = {std::max(machine.token, heartbeat.token).value + 1};
   machine.fencing_token =
       IsDisabled(SafetyCheck::kFenceAgentRestarted) ? FencingToken{} : machine.token;
+  LogFenceRaised(state_.decisions, machine, FenceReason::kAgentRestarted);
   machine.seen_token = heartbeat.token;
   machine.agent_epoch = heartbeat.agent_epoch;
   machine.sequence = 0;
@@ -212,8 +214,7 @@
 // finished if its job was cancelled, it was to be stopped, its result is unconfirmed, it is from an
 // earlier agent epoch and so was killed, the machine has a preemption notice, or MayStart does not
 // allow another start. Otherwise the task stays bound, and its `run` command is sent again.
-// MayStart is checked for each task, since each unbound task frees quota for the others. An attempt
-// that a copy of an answered command could still start stays bound until the worker rejects it.
+// MayStart is checked for each task, since each unbound task frees quota for the others.
 void HeartbeatProcessor::FinishAbsentTasks(Machine& machine, bool new_agent_epoch, Instant now) {
   const std::vector<HeldTask> tasks = machine.tasks;
   for (const HeldTask& held : tasks) {
@@ -221,14 +222,23 @@
     if (task.listed || task.state != TaskPhase::kBound) continue;
     if (held.job->cancelled || task.stop_requested || task.result_unconfirmed || new_agent_epoch ||
         machine.preemption_deadline || !state_.quotas.MayStart(*held.job)) {
-      if (new_agent_epoch || RejectsStarts(machine, held))
-        lifecycle_.FinishAttempt(*held.job, held.index, now);
-      else
-        state_.machines.heartbeats().Watch(machine);
+      FinishAbsentAttempt(machine, held, new_agent_epoch, now);
     } else if (task.running) {  // the machine was restarted; the task is started again
       lifecycle_.ClearStart(*held.job, held.index);
     }
   }
 }
 
+void HeartbeatProcessor::FinishAbsentAttempt(Machine& machine, const HeldTask& attempt,
+                                             bool new_agent_epoch, Instant now) {
+  if (new_agent_epoch || RejectsStarts(machine, attempt)) {
+    lifecycle_.FinishAttempt(
+        *attempt.job, attempt.index,
+        new_agent_epoch ? UnbindReason::kLaterAgentEpoch : UnbindReason::kAbsent, now);
+    return;
+  }
+  LogFenceRaised(state_.decisions, machine, FenceReason::kAttemptAbsent);
+  state_.machines.heartbeats().Watch(machine);
+}
+
 }  // namespace magpie
--- a/src/scheduling/heartbeat_processor.h
+++ b/src/scheduling/heartbeat_processor.h
@@ -51,6 +51,9 @@
   void ApplyPreemptionNotice(Machine& machine, const Heartbeat& heartbeat, Instant now);
   void UpdateInboundReachability(Machine& machine, MessageSource source, Instant now);
   void FinishAbsentTasks(Machine& machine, bool new_agent_epoch, Instant now);
+  // Finishes the attempt, or fences the worker if an answered command could start it once more.
+  void FinishAbsentAttempt(Machine& machine, const HeldTask& attempt, bool new_agent_epoch,
+                           Instant now);
 
   ClusterState& state_;
   TaskLifecycle& lifecycle_;
--- a/src/scheduling/record_writer.cc
+++ b/src/scheduling/record_writer.cc
@@ -120,7 +120,8 @@
 void RecordWriter::DiscardUnwrittenBindings(Job& job, Instant now) {
   for (const std::uint32_t index : std::exchange(job.unpersisted_tasks, {})) {
     job.tasks[index].unpersisted = false;
-    if (job.tasks[index].state == TaskPhase::kBinding) lifecycle_.Unbind(job, index, now);
+    if (job.tasks[index].state == TaskPhase::kBinding)
+      lifecycle_.Unbind(job, index, UnbindReason::kNotWritten, now);
   }
 }
 
@@ -148,7 +149,7 @@
     if (task.state != TaskPhase::kEnding) return;
     if (task.machine != nullptr && task.machine->tasks.size() > 1)
       state_.commands.Request(*task.machine);
-    lifecycle_.Unbind(job, record.index, now);
+    lifecycle_.Unbind(job, record.index, UnbindReason::kCompleted, now);
   } else if (task.state == TaskPhase::kBinding && task.attempt == record.attempt &&
              task.machine != nullptr && task.machine->id == record.machine) {
     lifecycle_.ConfirmBinding(job, record.index);
@@ -187,7 +188,7 @@
   Task& task = job.tasks[record.index];
   // No command was sent for a binding that was not written.
   if (task.state == TaskPhase::kBinding && task.attempt == record.attempt && job.cancelled)
-    lifecycle_.Unbind(job, record.index, task.since);
+    lifecycle_.Unbind(job, record.index, UnbindReason::kNotWritten, task.since);
   else if (!std::exchange(task.unpersisted, true))
     job.unpersisted_tasks.push_back(record.index);
   job.bindings_unpersisted = true;
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -152,9 +152,9 @@
 
   // --- Status
 
-  // Returns the texts of the decisions made since the last call. They are recorded only if
-  // Options::log_decisions is set.
-  std::vector<std::string> TakeDecisions() { return state_.decisions.TakeAll(); }
+  // Returns the decisions made since the last call. Without Options::log_decisions only notices are
+  // recorded.
+  std::vector<DecisionLog::Line> TakeDecisions() { return state_.decisions.TakeAll(); }
   // The number of machines on which tasks may run.
   std::size_t ReachableMachines() const { return CountReachableMachines(state_); }
   // Returns none if the job is unknown or the records are not loaded.
--- a/src/scheduling/task_lifecycle.cc
+++ b/src/scheduling/task_lifecycle.cc
@@ -74,12 +74,13 @@
         " machine=" + machine.id.value + (HasImage(machine, job.image) ? "" : " fetch_image=true"));
 }
 
-void TaskLifecycle::Unbind(Job& job, std::uint32_t index, Instant now) {
+void TaskLifecycle::Unbind(Job& job, std::uint32_t index, UnbindReason reason, Instant now) {
   Task& task = job.tasks[index];
   state_.overdue.Remove(job, index);
   if (task.machine != nullptr) {
     Machine& machine = *task.machine;
     RemoveFromMachine(job, index);
+    LogUnbound(state_.decisions, machine, {job.spec.id, index}, task.attempt, reason);
     if (machine.tasks.empty()) machine.used = {};
     machine.idle_since = now;
   }
@@ -89,8 +90,6 @@
     return;
   }
   state_.signals.RequestTick();
-  if (state_.decisions.enabled())
-    state_.decisions.Add("unbind task=" + job.spec.id.value + "/" + std::to_string(index));
   task.state = TaskPhase::kPending;
   if (!job.cancelled) {
     job.pending.push_front(index);
@@ -152,14 +151,14 @@
 
 void TaskLifecycle::EndWithJob(Job& job, std::uint32_t index, Instant now) {
   job.tasks[index].state = TaskPhase::kEnding;
-  Unbind(job, index, now);
+  Unbind(job, index, UnbindReason::kCompleted, now);
 }
 
-void TaskLifecycle::FinishAttempt(Job& job, std::uint32_t index, Instant now) {
+void TaskLifecycle::FinishAttempt(Job& job, std::uint32_t index, UnbindReason reason, Instant now) {
   if (job.tasks[index].result_unconfirmed && !job.cancelled)
     SetDone(job, index, now);
   else
-    Unbind(job, index, now);
+    Unbind(job, index, reason, now);
 }
 
 void TaskLifecycle::StopAll(Job& job) {
@@ -168,7 +167,7 @@
     Task& task = job.tasks[index];
     if (task.machine == nullptr) continue;
     if (task.state == TaskPhase::kEnding) {  // it has ended, so there is no attempt to stop
-      Unbind(job, index, task.since);
+      Unbind(job, index, UnbindReason::kCompleted, task.since);
       continue;
     }
     task.stop_requested = true;
--- a/src/scheduling/task_lifecycle.h
+++ b/src/scheduling/task_lifecycle.h
@@ -12,6 +12,7 @@
 
 #include "model/time.h"
 #include "scheduling/cluster_state.h"
+#include "scheduling/fencing_log.h"
 
 namespace magpie {
 
@@ -27,7 +28,7 @@
   // Called when the binding is durable; requests the command that starts the task.
   void ConfirmBinding(Job& job, std::uint32_t index);
   // Removes a task from its machine, if it has one. The task is pending again unless it has ended.
-  void Unbind(Job& job, std::uint32_t index, Instant now);
+  void Unbind(Job& job, std::uint32_t index, UnbindReason reason, Instant now);
   // Restores the binding of a durable record.
   void RestoreBinding(Job& job, std::uint32_t index, Machine& machine);
   // Undoes a binding restored from an older record.
@@ -47,7 +48,7 @@
   void EndWithJob(Job& job, std::uint32_t index, Instant now);
   // Called when the bound attempt is not on its machine and can no longer start there. A task with
   // an unconfirmed result is then ending, unless its job is cancelled; any other task is unbound.
-  void FinishAttempt(Job& job, std::uint32_t index, Instant now);
+  void FinishAttempt(Job& job, std::uint32_t index, UnbindReason reason, Instant now);
 
   // Stops all tasks of a cancelled job.
   void StopAll(Job& job);
--- a/src/scheduling/task_status_processor.cc
+++ b/src/scheduling/task_status_processor.cc
@@ -102,7 +102,7 @@
     case ExitReason::kBusy:
       break;
   }
-  lifecycle_.FinishAttempt(job, index, now);
+  lifecycle_.FinishAttempt(job, index, UnbindReason::kEnded, now);
 }
 
 void TaskStatusProcessor::ApplyCompleted(Machine& machine, Job& job, std::uint32_t index,
@@ -110,7 +110,7 @@
   ApplyVerdict(state_.failure_attribution.OnTaskCompleted(job.serial, machine.id));
   slow_machines_.OnCompleted(machine, job, job.tasks[index], now);
   if (job.cancelled)
-    lifecycle_.Unbind(job, index, now);
+    lifecycle_.Unbind(job, index, UnbindReason::kEnded, now);
   else
     lifecycle_.SetDone(job, index, now);
 }
