Load test: copies of answered direct commands arrive at the workers

`repeated_commands` of a scenario is the fraction of answered direct commands of which a copy reaches the simulated worker again, 0.5 s to 1.2 leases later, also when its sender or the machine has been restarted meanwhile.

--- a/src/load_test/networked_worker.cc
+++ b/src/load_test/networked_worker.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Seconds kMinTimerInterval{0.001};  // between two timer callbacks
+constexpr Seconds kMinCopyDelay{0.5};
+constexpr double kMaxCopyDelayInLeases = 1.2;
 
 std::string AddressText(const Address& address) {
   return address.host + ":" + std::to_string(address.port);
@@ -30,7 +32,9 @@
             OnRequest(call, reply);
           },
           context.commands)),
-      timer_(loop.MakeTimer([this] { OnTimer(); })) {}
+      timer_(loop.MakeTimer([this] { OnTimer(); })),
+      random_(static_cast<std::minstd_rand::result_type>(
+          context.seed + std::hash<std::string>()(machine.id.value))) {}
 
 std::optional<Address> NetworkedWorker::address() const {
   if (!listener_) return std::nullopt;
@@ -98,11 +102,10 @@
     if (call.target == protocol::kInspectPath) {
       reply({200, protocol::HeartbeatToJson(worker_->Inspect(now)).dump()});
     } else if (call.target == protocol::kCommandsPath) {
-      const DirectCommands direct = DirectCommandsFromJson(protocol::ParseObject(call.body));
-      const agent::DirectCommandReply answer =
-          worker_->OnDirectCommand(direct.token, direct.agent_epoch, direct.commands, now);
+      const HttpReply answer = Execute(call, now);
       if (answer.status != 200) ++worker_context_.rejected_commands;
-      reply({answer.status, protocol::HeartbeatToJson(answer.heartbeat).dump()});
+      reply(answer);
+      RepeatLater(call);
     } else {
       reply({404, "{}"});
     }
@@ -112,6 +115,25 @@
   Schedule();
 }
 
+HttpReply NetworkedWorker::Execute(const HttpCall& call, Instant now) {
+  const DirectCommands direct = DirectCommandsFromJson(protocol::ParseObject(call.body));
+  const agent::DirectCommandReply answer =
+      worker_->OnDirectCommand(direct.token, direct.agent_epoch, direct.commands, now);
+  return {answer.status, protocol::HeartbeatToJson(answer.heartbeat).dump()};
+}
+
+void NetworkedWorker::RepeatLater(const HttpCall& call) {
+  if (!std::bernoulli_distribution(worker_context_.repeated_commands)(random_)) return;
+  const Seconds max_delay = kMaxCopyDelayInLeases * worker_context_.lease;
+  const Seconds delay{
+      std::uniform_real_distribution<double>(kMinCopyDelay.value, max_delay.value)(random_)};
+  loop_.After(delay, [this, call, alive = std::weak_ptr<int>(alive_)] {
+    if (!alive.lock() || unreachable_ || !worker_) return;
+    if (Execute(call, EventLoop::Now()).status == 200) ++worker_context_.accepted_copies;
+    Schedule();
+  });
+}
+
 void NetworkedWorker::OnTimer() {
   if (!worker_) return;
   const Instant now = EventLoop::Now();
--- a/src/load_test/networked_worker.h
+++ b/src/load_test/networked_worker.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,7 @@
   std::vector<MachineType> types;
   Seconds heartbeat_interval{3};
   Seconds lease{45};
+  double repeated_commands = 0;  // see Scenario
   std::uint64_t seed = 1;
   // Traffic of heartbeats and their responses, by index in `nodes`.
   std::vector<std::unique_ptr<Traffic>> heartbeats;
@@ -36,6 +38,7 @@
   std::atomic<std::uint64_t> redirects{0};
   std::atomic<std::uint64_t> rejected_commands{0};  // direct commands answered with 400 or 409
   std::atomic<std::uint64_t> failed_heartbeats{0};  // no response, or an unexpected status
+  std::atomic<std::uint64_t> accepted_copies{0};    // copies of direct commands answered with 200
 };
 
 // A simulated worker on the network: sends heartbeats to controllers over persistent connections
@@ -62,6 +65,10 @@
  private:
   SimulatedWorker::Options OptionsOf() const;
   void OnRequest(const HttpCall& call, const EventLoop::ReplyCallback& reply);
+  // Throws protocol::InvalidMessage if the call is malformed.
+  HttpReply Execute(const HttpCall& call, Instant now);
+  // May schedule the arrival of a copy of an answered direct command.
+  void RepeatLater(const HttpCall& call);
   void OnTimer();
   void Send(const agent::Worker::Outgoing& outgoing);
   void OnOutcome(const HttpOutcome& outcome);
@@ -82,6 +89,7 @@
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
   // Incremented by PowerOff. Responses to earlier incarnations are ignored.
   std::uint64_t incarnation_ = 0;
+  std::minstd_rand random_;  // selects the commands to repeat
   bool unreachable_ = false;
 };
 
--- a/src/load_test/results.cc
+++ b/src/load_test/results.cc
@@ -75,7 +75,8 @@
           {"commands", rates.PerSecond(measured.begin.commands, measured.end.commands, workers)},
           {"redirects", measured.redirects},
           {"refused_commands", measured.refused_commands},
-          {"failed_reports", measured.failed_heartbeats}};
+          {"failed_reports", measured.failed_heartbeats},
+          {"accepted_copies", measured.accepted_copies}};
 }
 
 nlohmann::json UsersToJson(const Measurements& measured, const Rates& rates) {
--- a/src/load_test/results.h
+++ b/src/load_test/results.h
@@ -60,6 +60,7 @@
   std::uint64_t redirects = 0;
   std::uint64_t refused_commands = 0;
   std::uint64_t failed_heartbeats = 0;
+  std::uint64_t accepted_copies = 0;
   double load_average = 0;
   double own_peak_mb = 0;
   nlohmann::json takeovers;
--- a/src/load_test/run.cc
+++ b/src/load_test/run.cc
@@ -159,6 +159,7 @@
   measured.redirects = worker_context_.redirects.load();
   measured.refused_commands = worker_context_.rejected_commands.load();
   measured.failed_heartbeats = worker_context_.failed_heartbeats.load();
+  measured.accepted_copies = worker_context_.accepted_copies.load();
   measured.load_average = LoadAverage();
   if (const auto own = UsageOf(getpid())) measured.own_peak_mb = own->peak_mb;
   measured.takeovers = leadership_.TakeoversToJson();
--- a/src/load_test/run_setup.cc
+++ b/src/load_test/run_setup.cc
@@ -87,6 +87,7 @@
   worker_context_.types = scenario_.cloud.types;
   worker_context_.heartbeat_interval = scenario_.heartbeat_interval;
   worker_context_.lease = scenario_.lease;
+  worker_context_.repeated_commands = scenario_.repeated_commands;
   workers_ = std::make_unique<WorkerPool>(scenario_.threads, worker_context_, jobs_, recorder_);
   faults_ = std::make_unique<FaultSchedule>(
       FaultSchedule::Targets{controllers_, leadership_, *workers_, services_loop_, *state_});
--- a/src/load_test/scenario.cc
+++ b/src/load_test/scenario.cc
@@ -129,6 +129,8 @@
   scenario.lease = {section.Number("lease_s", scenario.lease.value, 5, kMaxSeconds)};
   scenario.cancel_timeout = {
       section.Number("cancel_s", scenario.cancel_timeout.value, 5, kMaxSeconds)};
+  scenario.repeated_commands =
+      section.Number("repeated_commands", scenario.repeated_commands, 0, 1);
   scenario.threads = section.Count("threads", scenario.threads, 1, kMaxThreads);
   section.RejectUnknownKeys();
 }
--- a/src/load_test/scenario.h
+++ b/src/load_test/scenario.h
@@ -58,6 +58,8 @@
   Seconds heartbeat_interval{3};
   Seconds lease{45};
   Seconds cancel_timeout{75};
+  // The fraction of answered direct commands of which a copy arrives at the worker later.
+  double repeated_commands = 0;
   StateServer::Options state;
   Cloud::Options cloud;
   std::vector<JobClass> classes;
