A follower renews no lease of a worker that lost its token

Cause: a machine came back without its state in a zone that was cut off with a follower. The follower answered its heartbeat with the worker's own token raised by one, that is 1, and renewed the lease, and went on doing so. That token fences no command of any leader, so a copy of a command for a task that had been moved since started it once more, for as long as the zone was cut off. docs/design.md counted the machine as fenced from its first answered message on. Late commands without an answer could use it as well.

Change: a heartbeat without a token (0: the worker is new, or has lost its state and with it all tasks) gets no renewal from a follower. The worker ends that agent epoch after a lease, and commands for the earlier one are rejected; or the leader answers it first, with a token above all earlier ones. No task loses its lease by that: such a worker has none.

--- a/src/cancellation/cancellation_registry.cc
+++ b/src/cancellation/cancellation_registry.cc
@@ -74,6 +74,8 @@
 
 std::optional<HeartbeatResponse> CancellationRegistry::FollowerResponse(
     const Heartbeat& heartbeat) {
+  if (heartbeat.token == FencingToken{} && !IsDisabled(SafetyCheck::kNoRenewalWithoutToken))
+    return std::nullopt;
   const bool token_can_be_raised = (heartbeat.token.value & kTokenLowMask) != kTokenLowMask;
   if (!token_can_be_raised) return std::nullopt;
   const std::uint64_t increment = IsDisabled(SafetyCheck::kFollowerRaisesToken) ? 0 : 1;
--- a/src/cancellation/cancellation_registry.h
+++ b/src/cancellation/cancellation_registry.h
@@ -34,8 +34,9 @@
 //
 // Messages in flight: a start command in a heartbeat response is dropped after 4 s. A delayed
 // direct command is fenced off by a later token, and every controller that renews leases raises the
-// token: a new leader has its own, the leader raises it after an unanswered command, and a follower
-// that renews leases in place of the leader raises it with each response. If `cancel_s` does not
+// token: a new leader has its own, the leader raises it after an unanswered command and when it
+// gives an attempt up, and a follower that renews leases in place of the leader raises it with each
+// response. If `cancel_s` does not
 // cover a lease and the messages in flight, cancellations are acknowledged only when jobs are
 // final.
 //
@@ -66,7 +67,8 @@
   std::optional<HeartbeatResponse> CompleteResponse(const Heartbeat& heartbeat,
                                                     HeartbeatResponse response);
   // A follower's response while the leader is unreachable: renews the lease with the worker's own
-  // token, raised. nullopt: the lease must not be renewed.
+  // token, raised. nullopt: the lease must not be renewed. A worker without a token is new or has
+  // lost its state; raised from 0, its token would not fence commands that it had seen before.
   std::optional<HeartbeatResponse> FollowerResponse(const Heartbeat& heartbeat);
   // Removes commands that start tasks of cancelled jobs from a direct command.
   void RemoveCancelledStarts(DirectCommand& direct_command) const;
--- a/src/model/safety_checks.h
+++ b/src/model/safety_checks.h
@@ -64,6 +64,7 @@
   kLaterEpochHeartbeat,    // no commands in response to a heartbeat with a later epoch's token
   kLaterEpochCommand,      // a direct command's response with a later epoch's token is ignored
   kFollowerRaisesToken,    // a follower that renews a worker's lease raises the worker's token
+  kNoRenewalWithoutToken,  // a follower renews no lease of a worker that has seen no token
   kCommittedByThisLeader,  // a write found in the store counts only if this controller still leads
   kEpochMatchesKey,        // the epoch was won with the current leader key
   kNonceMatchesProcess,    // the leader key was written by this run of the process
--- a/tests/cancellation_test.cc
+++ b/tests/cancellation_test.cc
@@ -294,6 +294,24 @@
   EXPECT_FALSE(follower.cancellations.FollowerResponse(heartbeat));
 }
 
+// Its token would not fence earlier commands; without a renewal the worker begins the next agent
+// epoch after a lease, which does.
+TEST_F(CancellationTest, FollowerDoesNotRenewLeaseOfWorkerThatLostItsToken) {
+  Begin();
+  PartitionFromAll(leader);
+  SimulatedController& follower = *cluster.controllers.at(peers[0]);
+  cluster.store.outage = true;
+  cluster.AdvanceSeconds(2);
+  FakeWorker& worker = cluster.machines.front().worker;
+  const auto status_of_heartbeat = [&] {
+    const std::string body = protocol::HeartbeatToJson(worker.Snapshot()).dump();
+    return follower.heartbeat_handler.Handle(body, HeartbeatRoute::kDirect).status;
+  };
+  ASSERT_EQ(status_of_heartbeat(), 200);
+  worker.Restart(true);
+  EXPECT_NE(status_of_heartbeat(), 200);
+}
+
 // Guards against lost leases at the start of a partition: a follower that had not yet detected that
 // the store was unreachable redirected workers, which then tried unreachable controllers one after
 // the other until their leases expired.
