review/4: a copy of a command starts a task twice on a machine that is back

Cause: a worker whose machine is back has lost its token, and no controller fences it before it has an answer of a leader. In the middle of an election that takes 4 to 6 s, in which a copy of a direct command that it carried out is carried out again, although the attempt was given up and the task runs elsewhere. docs/design.md ("Quick restarts") names the gap; it had not been shown.

Adds the case, and to the stand-ins machines that restart, copies of direct commands, attempts that fail, the fleet's settings, the third machine type and ports below those of outgoing connections. Nothing is fixed.

--- a/review/standin2.py
+++ b/review/standin2.py
@@ -30,10 +30,15 @@
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """A port that nothing listens on, below the range from which connections take theirs."""
+    while True:
+        port = random.randrange(12000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+            return port
 
 
 class Record:
@@ -366,6 +371,8 @@
         self.wake = threading.Event()
         self.images = set()
         self.warning_at = None
+        self.carried_out = []  # direct commands that were executed
+        self.error_for = set()  # tasks whose next start here fails with `error`
         self.node = random.choice(sorted(nodes))
         self.server = serve(self.handle)
         self.addr = f"{HOST}:{self.server.server_address[1]}"
@@ -501,6 +508,8 @@
                 self.crest = message["crest"]
                 self.wake.set()
             self.execute(message.get("calls") or [], path)
+            if message.get("calls"):
+                self.carried_out.append(message)
             report = self.report()
             self.record(path, self.name, json.dumps(message), "-> 200", json.dumps(report["pecks"]))
             return 200, report
@@ -570,7 +579,8 @@
                         self.world.begin(self, task)
                         task.mood = "running"
                         task.left = task.job.get("real_s", task.job["flight_s"])
-                        if task.job.get("mistake"):
+                        if task.job.get("mistake") or task.name in self.error_for:
+                            self.error_for.discard(task.name)
                             self.finish(task, "error")
                         elif task.name in self.world.results:
                             self.finish(task, "done")
@@ -581,6 +591,18 @@
                         task.stored = True
                         self.finish(task, "halted")
 
+    def restart(self):
+        """The machine is back at once, with a new worker: no tasks, first session, no token."""
+        with self.lock:
+            for task in list(self.tasks.values()):
+                self.world.end(self, task, "machine restarted")
+            self.tasks.clear()
+            self.images.clear()
+            self.stint, self.chirp, self.crest = 1, 0, 0
+            self.lease_from = time.monotonic()
+            self.record("machine", self.name, "restarted: stint 1, crest 0")
+            self.wake.set()
+
     def die(self, why="gone"):
         with self.lock:
             self.dead = True
@@ -989,10 +1011,21 @@
         "cloud": {"rps": 4.0, "list_lag_s": 5.0},
         "resources": {"cores": 0.08, "mem_mb": 56.0, "sockets": 900},
         "types": [kind("lindeboom-small", 4.0, 16.0, 30.0, 0.3, 0.18, 0.06),
-                  kind("beuk-mid", 8.0, 32.0, 60.0, 0.6, 0.33, 0.11)],
+                  kind("beuk-mid", 8.0, 32.0, 60.0, 0.6, 0.33, 0.11),
+                  kind("eik-large", 64.0, 256.0, 70.0, 0.8, 2.77, 0.88)],
     }
 
 
+def mechelen_fleet():
+    """Settings like those of mechelen-donor-booking-fleet, with few machines."""
+    site = mechelen()
+    site["workers"].update(report_s=6.0, lease_s=31.0, cancel_s=61.0)
+    site["state"].update(rps=600.0, write_rps=150.0)
+    site["cloud"].update(rps=8.0)
+    site["resources"].update(cores=0.296, mem_mb=188.0, sockets=3331)
+    return site
+
+
 def run_case(main, case, seconds=112):
     """Calls main(case), which returns what broke the rule, or None. Whatever happens, the processes
     are ended; a case that could not run exits with 2."""
