Tasks are started in responses to heartbeats only, never by direct commands

A machine was back in the middle of an election without its token, and carried out a copy of a direct command from before its restart.

Cause: `run` was sent by /do, which PROTOCOL lets arrive late and more than once. Every fence against such a copy is a token that the worker has seen; a worker that has lost its token has seen none until a leader answers it. Completed and cancelled tasks could start again by the same way. No message of a controller closes the gap, so the command that leaves it must not exist.

Change: direct commands stop tasks and request heartbeats, but start nothing. `run` is sent in the response to a heartbeat, which a worker drops after 4 s and which a copy can't repeat.

Three combinations are new: workers that lose their state during an election, copies of heartbeats during preemption notices, late writes while leaders change.

Changed expectations: the scenes of RepeatedCommandTest start their task by the requested heartbeat (they run with direct starts in DirectStart/ too); LateWriteTest looks for the start in the response; SlowMachineIsAvoided counts its 80 s from the start of the tasks.

--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -92,10 +92,15 @@
 }
 
 HeartbeatHandler::Hooks Controller::HeartbeatHooks() {
-  return {SteadyNow, [this] { return state_.ClusterView(); },
-          [this] { state_.RequestPlanningIfWanted(); }, [this] { election_.Wake(); },
+  return {SteadyNow,
+          [this] { return state_.ClusterView(); },
+          [this] { state_.RequestPlanningIfWanted(); },
+          [this] { election_.Wake(); },
           [this](const std::string& peer, const std::string& body) {
             return peers_.RelayHeartbeat(peer, body);
+          },
+          [this](std::unique_lock<std::mutex>& lock, Seconds max_wait) {
+            state_.WaitForProgress(lock, max_wait);
           }};
 }
 
--- a/src/controller/controller_options.cc
+++ b/src/controller/controller_options.cc
@@ -63,8 +63,10 @@
 }
 
 HeartbeatHandler::Options HeartbeatOptions(const Settings& settings) {
+  constexpr std::size_t kDelayedResponsesShare = 4;  // of the request threads: one of so many
   HeartbeatHandler::Options options{settings.lease, settings.leader_lease, {}};
   for (const PeerSettings& peer : settings.peers) options.peers.insert(peer.label);
+  options.max_delayed_responses = MaxConcurrentRequests(settings) / kDelayedResponsesShare;
   return options;
 }
 
--- a/src/controller/heartbeat_handler.cc
+++ b/src/controller/heartbeat_handler.cc
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "controller/http_responses.h"
@@ -10,6 +11,15 @@
 namespace magpie {
 namespace {
 
+// A worker drops responses after 4 s, and reports no changes while it waits for one.
+constexpr Seconds kMaxResponseDelay{1};
+
+// Whether the response starts or stops tasks.
+bool IsUrgent(const HeartbeatResponse& response) {
+  return std::any_of(response.commands.begin(), response.commands.end(),
+                     [](const Command& command) { return command.kind != CommandKind::kForget; });
+}
+
 // 421 redirects a worker to the named leader or, without a label, to any other controller.
 HttpResponse RedirectTo(const std::string& leader) {
   return {421, protocol::RedirectToJson(leader).dump()};
@@ -62,7 +72,7 @@
 
 std::optional<HttpResponse> HeartbeatHandler::HandleAsLeader(const Heartbeat& heartbeat,
                                                              HeartbeatRoute route) {
-  std::scoped_lock lock(mutex_);
+  std::unique_lock lock(mutex_);
   if (!scheduler_.leading()) return std::nullopt;
   const Instant now = hooks_.now();
   if (route == HeartbeatRoute::kRelayed)
@@ -78,12 +88,43 @@
     return std::nullopt;
   }
   hooks_.on_heartbeat_applied();
+  if (route == HeartbeatRoute::kDirect && !AwaitBindings(lock, heartbeat.machine, response))
+    return std::nullopt;
   // The scheduler has applied the heartbeat even if the lease must not be renewed.
   const auto completed = cancellations_.CompleteResponse(heartbeat, std::move(response));
   if (!completed) return ErrorResponse(503, "not covered");
   return RenewalResponse(*completed);
 }
 
+bool HeartbeatHandler::AwaitBindings(std::unique_lock<std::mutex>& lock, const MachineId& machine,
+                                     HeartbeatResponse& response) {
+  if (delayed_responses_ >= options_.max_delayed_responses || !scheduler_.loaded() ||
+      IsUrgent(response))
+    return true;
+  if (!response.capacity_freed && !scheduler_.IsBindingTo(machine)) return true;
+  const FencingToken term = scheduler_.term_token();
+  ++delayed_responses_;
+  WaitWhileBinding(lock, machine, response.capacity_freed);
+  --delayed_responses_;
+  if (scheduler_.term_token() != term) return false;
+  scheduler_.AllowTaskStarts(cancellations_.Loaded());
+  scheduler_.UpdateResponse(machine, response);
+  return true;
+}
+
+void HeartbeatHandler::WaitWhileBinding(std::unique_lock<std::mutex>& lock,
+                                        const MachineId& machine, bool capacity_freed) {
+  const FencingToken term = scheduler_.term_token();
+  const std::uint64_t round = scheduler_.planning_rounds();
+  const Instant deadline = hooks_.now() + kMaxResponseDelay;
+  while (scheduler_.term_token() == term) {
+    const bool awaits_planning = capacity_freed && scheduler_.planning_rounds() == round;
+    const Seconds remaining = deadline - hooks_.now();
+    if (remaining.value <= 0 || (!awaits_planning && !scheduler_.IsBindingTo(machine))) return;
+    hooks_.wait_for_progress(lock, remaining);
+  }
+}
+
 HttpResponse HeartbeatHandler::Redirect(const Heartbeat& heartbeat, const std::string& body) {
   const Redirection redirection = ChooseRedirection(heartbeat);
   if (redirection.renewal) return *redirection.renewal;
--- a/src/controller/heartbeat_handler.h
+++ b/src/controller/heartbeat_handler.h
@@ -1,6 +1,7 @@
 // Handles workers' heartbeats.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <mutex>
@@ -18,14 +19,15 @@
 
 namespace magpie {
 
-// The leader passes a heartbeat to its scheduler and returns the response. A follower redirects the
-// worker to the leader. If the worker can't reach the leader, the follower relays the heartbeat; if
-// the follower can't reach the leader either, it renews the worker's lease itself.
+// The leader passes a heartbeat to its scheduler and returns the response, as soon as tasks that
+// are being bound to the machine can be started by it. A follower redirects the worker to the
+// leader. If the worker can't reach the leader, the follower relays the heartbeat; if the follower
+// can't reach the leader either, it renews the worker's lease itself.
 //
 // Each 200 response has passed through the CancellationRegistry of this controller or, for a
 // relayed heartbeat, of the leader.
 //
-// Thread safe. Blocks on I/O while it relays.
+// Thread safe. Blocks on I/O while it relays, and for up to a second while tasks are bound.
 class HeartbeatHandler {
  public:
   // The leadership according to the latest answer of the key-value store.
@@ -41,11 +43,17 @@
     std::function<void()> on_no_leader;          // called without the mutex if there is no leader
     // Relays a heartbeat to another controller.
     std::function<HttpAnswer(const std::string& peer, const std::string& body)> relay;
+    // Blocks until a planning round or a write has ended, at most for `max_wait`. `lock` holds the
+    // mutex. Not called if Options::max_delayed_responses is 0.
+    std::function<void(std::unique_lock<std::mutex>& lock, Seconds max_wait)> wait_for_progress =
+        nullptr;
   };
   struct Options {
     Seconds lease;         // duration of a worker's lease
     Seconds leader_lease;  // duration of the lease on the leader's key in the store
     std::set<std::string> peers;
+    // Maximum number of responses that wait at the same time for tasks to be bound.
+    std::size_t max_delayed_responses = 0;
   };
 
   // `mutex` guards `scheduler` and `leader_health`; it is not held across I/O.
@@ -68,6 +76,14 @@
   // The leader's response. None if this controller does not lead or the worker has the token of a
   // later leader.
   std::optional<HttpResponse> HandleAsLeader(const Heartbeat& heartbeat, HeartbeatRoute route);
+  // Delays the response while a task may be bound to the machine, so that it can start the task.
+  // Returns false if the term has ended meanwhile.
+  bool AwaitBindings(std::unique_lock<std::mutex>& lock, const MachineId& machine,
+                     HeartbeatResponse& response);
+  // Blocks until no task is being bound to the machine, if one is or the next planning round may
+  // bind one.
+  void WaitWhileBinding(std::unique_lock<std::mutex>& lock, const MachineId& machine,
+                        bool capacity_freed);
   HttpResponse Redirect(const Heartbeat& heartbeat, const std::string& body);
   Redirection ChooseRedirection(const Heartbeat& heartbeat);
   HttpResponse Relay(const Heartbeat& heartbeat, const std::string& body,
@@ -78,7 +94,7 @@
   HttpResponse RenewLeaseIfAllowed(const Heartbeat& heartbeat, Instant now);
 
   Options options_;
-  // Guards scheduler_, leader_health_, redirect_tracker_ and leader_reachability_.
+  // Guards scheduler_, leader_health_ and the members below.
   std::mutex& mutex_;
   Scheduler& scheduler_;
   LeaderHealth& leader_health_;
@@ -86,6 +102,7 @@
   Hooks hooks_;
   RedirectTracker redirect_tracker_;
   LeaderReachability leader_reachability_;
+  std::size_t delayed_responses_ = 0;
 };
 
 }  // namespace magpie
--- a/src/controller/leader_state.cc
+++ b/src/controller/leader_state.cc
@@ -99,6 +99,10 @@
                 [&] { return planning_requested_ || stop.stop_requested(); });
 }
 
+void LeaderState::WaitForProgress(std::unique_lock<std::mutex>& lock, Seconds max_wait) {
+  condition(WorkSignal::kProgress).wait_for(lock, std::chrono::duration<double>(max_wait.value));
+}
+
 HeartbeatHandler::ClusterView LeaderState::ClusterView() const {
   return {leader_label_, epoch_, store_failed_at_ > store_reached_at_};
 }
--- a/src/controller/leader_state.h
+++ b/src/controller/leader_state.h
@@ -28,6 +28,7 @@
   kDirectCommand,
   kProbe,
   kCloudCall,
+  kProgress,  // a planning round or a write has ended
 };
 
 // Holds the scheduler, whether this controller leads, and the condition variables of the threads
@@ -82,6 +83,10 @@
   void WaitForPlanning(std::unique_lock<std::mutex>& lock, Seconds max_wait,
                        const std::stop_token& stop);
 
+  // Blocks until a planning round or a write has ended, at most for `max_wait`. `lock` holds the
+  // mutex.
+  void WaitForProgress(std::unique_lock<std::mutex>& lock, Seconds max_wait);
+
   // --- Functions that require the caller to hold the mutex
 
   std::mutex& mutex() { return mutex_; }
@@ -104,9 +109,11 @@
   // Wakes one direct-command thread for each machine with pending commands.
   void NotifyCommandThreads();
   void NotifyOne(WorkSignal signal) { condition(signal).notify_one(); }
+  // Wakes the threads that wait in WaitForProgress.
+  void NotifyProgress() { condition(WorkSignal::kProgress).notify_all(); }
 
  private:
-  static constexpr std::size_t kSignalCount = 6;
+  static constexpr std::size_t kSignalCount = 7;
   std::condition_variable& condition(WorkSignal signal) {
     return conditions_[static_cast<std::size_t>(signal)];
   }
--- a/src/controller/planning_loop.cc
+++ b/src/controller/planning_loop.cc
@@ -85,6 +85,7 @@
 }
 
 void PlanningLoop::NotifyThreads() {
+  state_.NotifyProgress();
   state_.NotifyOne(WorkSignal::kWriteBatch);
   state_.NotifyCommandThreads();
   const std::size_t probes =
--- a/src/controller/write_loop.cc
+++ b/src/controller/write_loop.cc
@@ -71,6 +71,7 @@
   }
   state_.RequestPlanningIfWanted();
   state_.NotifyCommandThreads();
+  state_.NotifyProgress();
 }
 
 }  // namespace magpie
--- a/src/model/direct_command.h
+++ b/src/model/direct_command.h
@@ -18,6 +18,7 @@
   bool redirect_to_leader = false;  // the worker of a relayed heartbeat can reach the leader again
   FencingToken token;
   std::vector<Command> commands;
+  bool capacity_freed = false;  // the machine is new or tasks have ended on it
 };
 
 // Commands sent over the leader's own connection. A direct command without commands is a probe.
--- a/src/model/safety_checks.h
+++ b/src/model/safety_checks.h
@@ -45,6 +45,8 @@
   kQuotaBeforeStart,      // a task starts only while its team's limit and its job's zone rules hold
   kRewrittenUnbound,      // a page rewritten for other records contains no pending bindings
   kReadLatestRecord,      // if a task has several records, the latest counts
+  // A direct command starts no task: a copy of it may arrive at a worker that has lost its token.
+  kStartOnlyInResponse,
   // --- conditions for concluding that a task missing in a worker's message is not on the machine
   kCommandInFlight,  // no conclusion while a direct command is in flight
   // No conclusion from a direct command's response while a heartbeat response is in flight.
--- a/src/scheduling/cluster_state.h
+++ b/src/scheduling/cluster_state.h
@@ -64,6 +64,7 @@
 struct WorkCounters {
   std::uint64_t candidates_evaluated = 0;
   std::uint64_t jobs_planned = 0;
+  std::uint64_t planning_rounds = 0;
   std::uint64_t machines_inspected = 0;
   std::uint64_t commands_issued = 0;
 };
--- a/src/scheduling/command_dispatcher.cc
+++ b/src/scheduling/command_dispatcher.cc
@@ -6,12 +6,17 @@
 #include "model/safety_checks.h"
 #include "scheduling/fencing.h"
 #include "scheduling/fencing_log.h"
+#include "scheduling/heartbeat_request.h"
 
 namespace magpie {
 namespace {
 constexpr Seconds kCommandRetryDelay{1};
 constexpr Seconds kProbeRetryDelay{0.5};
 constexpr Seconds kProbeRetryDelayInAlarm{0.1};
+
+bool IsStart(const Command& command) { return command.kind == CommandKind::kRun; }
+bool IsStop(const Command& command) { return command.kind == CommandKind::kStop; }
+
 }  // namespace
 
 std::optional<DirectCommand> CommandDispatcher::Next(Instant now) {
@@ -24,18 +29,41 @@
       state_.machines.heartbeats().Watch(*machine);
       continue;
     }
-    DirectCommand direct_command =
-        MakeDirectCommand(*machine, command_builder_.CommandsFor(*machine));
-    if (direct_command.commands.empty()) continue;
-    RecordStarts(*machine, direct_command);
-    LogCommands(state_.decisions, *machine, direct_command.commands, CommandPath::kDirectCommand);
-    state_.counters.commands_issued += direct_command.commands.size();
+    std::optional<DirectCommand> direct_command = CommandFor(*machine, now);
+    if (!direct_command) continue;
     machine->command_in_flight = true;
     return direct_command;
   }
   return std::nullopt;
 }
 
+std::optional<DirectCommand> CommandDispatcher::CommandFor(Machine& machine, Instant now) {
+  std::vector<Command> commands = command_builder_.CommandsFor(machine);
+  if (!IsDisabled(SafetyCheck::kStartOnlyInResponse)) {
+    const bool has_starts = std::erase_if(commands, IsStart) > 0;
+    // The next response forgets ended attempts early enough.
+    if (std::none_of(commands.begin(), commands.end(), IsStop))
+      return has_starts ? HeartbeatRequestFor(machine, now) : std::nullopt;
+  }
+  if (commands.empty()) return std::nullopt;
+  DirectCommand direct_command = MakeDirectCommand(machine, std::move(commands));
+  RecordStarts(machine, direct_command);
+  LogCommands(state_.decisions, machine, direct_command.commands, CommandPath::kDirectCommand);
+  state_.counters.commands_issued += direct_command.commands.size();
+  return direct_command;
+}
+
+// A worker that is receiving a response with starts sends a heartbeat by itself.
+std::optional<DirectCommand> CommandDispatcher::HeartbeatRequestFor(Machine& machine, Instant now) {
+  if (machine.response_in_flight || !NeedsHeartbeatNow(machine) ||
+      !AnswersTokenRaise(machine, state_.options.lease, now))
+    return std::nullopt;
+  machine.token = {machine.token.value + 1};
+  RecordTokenRaise(machine, state_.options.lease, now);
+  LogHeartbeatRequested(state_.decisions, machine);
+  return MakeDirectCommand(machine, {});
+}
+
 // Commands to a machine with late heartbeats are deferred until it sends one.
 bool CommandDispatcher::CanSend(const Machine& machine, Instant now) const {
   return !machine.command_in_flight && machine.up && now >= machine.next_command_at &&
--- a/src/scheduling/command_dispatcher.h
+++ b/src/scheduling/command_dispatcher.h
@@ -1,9 +1,12 @@
 // Selects direct commands, which the leader sends to workers, and applies their results.
 //
-// Invariant: a machine has at most one direct command in flight. A worker may execute a command at
-// any time until it sees a higher token, also once more after it has answered it. The machine's
-// token and its fencing_token are raised after a command without an answer; for answered ones the
-// token of each start is recorded, and revoked when the attempt is given up (see fencing.h).
+// Direct commands stop tasks and request heartbeats, but start no task: tasks are started in the
+// responses to heartbeats. A worker may execute a direct command at any time until it sees a higher
+// token, also once more after it has answered it, and a worker whose machine was restarted has seen
+// no token. It drops late responses.
+//
+// Invariant: a machine has at most one direct command in flight. The machine's token and its
+// fencing_token are raised after a command without an answer (see fencing.h).
 #pragma once
 
 #include <optional>
@@ -39,6 +42,11 @@
                 const std::optional<Heartbeat>& response, Instant now);
 
  private:
+  // Returns the command to send to the machine now, if any.
+  std::optional<DirectCommand> CommandFor(Machine& machine, Instant now);
+  // Returns an empty command that makes the worker send a heartbeat; none if it would not, or if
+  // the next regular heartbeat is early enough.
+  std::optional<DirectCommand> HeartbeatRequestFor(Machine& machine, Instant now);
   bool CanSend(const Machine& machine, Instant now) const;
   void OnProbeFailed(Machine& machine, Instant now);
   void OnResponse(Machine& machine, const DirectCommand& direct_command, const Heartbeat& response,
--- a/src/scheduling/fencing_log.cc
+++ b/src/scheduling/fencing_log.cc
@@ -79,6 +79,10 @@
           " reason=" + ToText(reason));
 }
 
+void LogHeartbeatRequested(DecisionLog& log, const Machine& machine) {
+  if (log.enabled()) log.Add("request heartbeat " + FenceText(machine));
+}
+
 void LogFenceRaised(DecisionLog& log, const Machine& machine, FenceReason reason) {
   log.AddNotice("fence raised " + FenceText(machine) + " reason=" + ToText(reason));
 }
--- a/src/scheduling/fencing_log.h
+++ b/src/scheduling/fencing_log.h
@@ -38,6 +38,8 @@
 // Adds a line on an attempt that is no longer bound to the machine.
 void LogUnbound(DecisionLog& log, const Machine& machine, const TaskId& task, Attempt attempt,
                 UnbindReason reason);
+// Adds a line on a token that was raised so that the worker sends a heartbeat.
+void LogHeartbeatRequested(DecisionLog& log, const Machine& machine);
 // Adds a notice on the machine's fencing token.
 void LogFenceRaised(DecisionLog& log, const Machine& machine, FenceReason reason);
 
--- a/src/scheduling/heartbeat_processor.cc
+++ b/src/scheduling/heartbeat_processor.cc
@@ -7,6 +7,7 @@
 
 #include "model/safety_checks.h"
 #include "scheduling/fencing.h"
+#include "scheduling/heartbeat_request.h"
 
 namespace magpie {
 
@@ -46,7 +47,16 @@
   // The worker sends a heartbeat only after it has received the last response or its request has
   // timed out.
   machine.response_in_flight = false;
+  const bool was_up = machine.up;
+  const double used_cpus = machine.used.cpus;
   Apply(machine, heartbeat, MessageSource::kHeartbeat, now);
+  response.capacity_freed = !was_up || machine.used.cpus < used_cpus;
+  AddCommands(machine, response);
+  if (response.token > heartbeat.token) RecordTokenRaise(machine, state_.options.lease, now);
+  return response;
+}
+
+void HeartbeatProcessor::AddCommands(Machine& machine, HeartbeatResponse& response) {
   response.commands = command_builder_.CommandsFor(machine);
   response.token = machine.token;  // may have been raised for attempts that were given up
   LogCommands(state_.decisions, machine, response.commands, CommandPath::kHeartbeatResponse);
@@ -55,7 +65,18 @@
     if (command.kind == CommandKind::kRun) machine.response_in_flight = true;
   machine.command_deferred = false;
   state_.commands.Remove(machine);
-  return response;
+}
+
+bool HeartbeatProcessor::IsBindingTo(const MachineId& id) const {
+  const Machine* machine = state_.machines.Find(id);
+  return machine != nullptr &&
+         std::any_of(machine->tasks.begin(), machine->tasks.end(),
+                     [](const HeldTask& held) { return held.task().state == TaskPhase::kBinding; });
+}
+
+void HeartbeatProcessor::UpdateResponse(const MachineId& id, HeartbeatResponse& response) {
+  response.commands.clear();
+  if (Machine* machine = state_.machines.Find(id)) AddCommands(*machine, response);
 }
 
 void HeartbeatProcessor::Buffer(const Heartbeat& heartbeat) {
@@ -68,6 +89,8 @@
 void HeartbeatProcessor::ApplyBuffered(Instant now) {
   for (auto& [id, heartbeat] : buffered_) {
     Machine& machine = state_.FindOrCreateMachine(id, now);
+    if (heartbeat.token < state_.term.token)
+      RecordTokenRaise(machine, state_.options.lease, now);  // by the response
     Apply(machine, heartbeat, MessageSource::kHeartbeat, now);
   }
   buffered_.clear();
@@ -124,6 +147,7 @@
 
 void HeartbeatProcessor::Apply(Machine& machine, const Heartbeat& heartbeat, MessageSource source,
                                Instant now) {
+  if (heartbeat.token > machine.seen_token) RecordTokenRaise(machine, state_.options.lease, now);
   const bool new_agent_epoch =
       machine.agent_epoch != 0 && heartbeat.agent_epoch > machine.agent_epoch;
   ApplyDescription(machine, heartbeat);
--- a/src/scheduling/heartbeat_processor.h
+++ b/src/scheduling/heartbeat_processor.h
@@ -35,6 +35,11 @@
 
   void Clear() { buffered_.clear(); }
   HeartbeatResponse OnHeartbeat(const Heartbeat& heartbeat, HeartbeatRoute route, Instant now);
+  // Whether a task is being bound to the machine, so that it can be started soon.
+  bool IsBindingTo(const MachineId& id) const;
+  // Replaces the commands and the token of a response that was not sent at once. The response then
+  // has no commands if the machine has been released.
+  void UpdateResponse(const MachineId& id, HeartbeatResponse& response);
   // Applies the heartbeats that were received while the records were loaded.
   void ApplyBuffered(Instant now);
   // Applies a worker's response to a direct command.
@@ -43,6 +48,7 @@
 
  private:
   void Buffer(const Heartbeat& heartbeat);
+  void AddCommands(Machine& machine, HeartbeatResponse& response);
   void OnAgentRestarted(Machine& machine, const Heartbeat& heartbeat);
   void CountOutOfOrder(Machine& machine, const Heartbeat& heartbeat);
   void Apply(Machine& machine, const Heartbeat& heartbeat, MessageSource source, Instant now);
--- a/src/scheduling/machine_state.h
+++ b/src/scheduling/machine_state.h
@@ -77,6 +77,8 @@
   bool command_deferred = false;    // commands are pending until one can be sent
   bool response_in_flight = false;  // a heartbeat response with a `run` may still be in flight
   Instant next_command_at;
+  // When the worker last sent a heartbeat because of a higher token: see heartbeat_request.h.
+  std::optional<Instant> token_raise_answered_at;
 
   // --- Tasks: changed by TaskLifecycle
   std::vector<HeldTask> tasks;    // tasks binding, bound or ending on this machine
--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -58,6 +58,7 @@
   InspectMachines(now);
   const ScaleOutStatus scale_out{cloud_.MayScaleOut(now), cloud_.HasPendingScaleOuts()};
   ApplyPlanningResult(planner_.Plan(scale_out, now, wall), now);
+  ++state_.counters.planning_rounds;
 }
 
 // Applies arrivals and cancellations of jobs since the last tick.
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -71,6 +71,8 @@
   void Stop();
   bool leading() const { return state_.term.token.value != 0; }
   bool loaded() const { return state_.term.loaded; }
+  // The first token of the term; 0 if this controller does not lead.
+  FencingToken term_token() const { return state_.term.token; }
 
   // --- Durable records
 
@@ -107,6 +109,15 @@
                                 HeartbeatRoute route = HeartbeatRoute::kDirect) {
     return heartbeats_.OnHeartbeat(heartbeat, route, now);
   }
+  // Whether a task is being bound to the machine, so that it can be started soon.
+  bool IsBindingTo(const MachineId& machine) const { return heartbeats_.IsBindingTo(machine); }
+  // Replaces the commands and the token of a response that was not sent at once. Must be called in
+  // the term in which the response was made.
+  void UpdateResponse(const MachineId& machine, HeartbeatResponse& response) {
+    heartbeats_.UpdateResponse(machine, response);
+  }
+  // The number of planning rounds in this term.
+  std::uint64_t planning_rounds() const { return state_.counters.planning_rounds; }
   std::optional<DirectCommand> NextDirectCommand(Instant now) { return dispatcher_.Next(now); }
   // The number of machines with pending commands.
   std::size_t machines_awaiting_commands() const { return state_.commands.size(); }
--- a/tests/late_write_test.cc
+++ b/tests/late_write_test.cc
@@ -163,7 +163,10 @@
   const auto [old_leader, batch] = PrepareOutcomeAndBinding();
   store.next_commit = FakeStore::Fault::kLoseResponse;
   EXPECT_EQ(old_leader->Finish(batch, now).status, WriteOutcome::Status::kWritten);
-  EXPECT_TRUE(old_leader->core.NextDirectCommand(now)) << "no command to start j-3";
+  const HeartbeatResponse response = old_leader->core.OnHeartbeat(worker2->Snapshot(), now);
+  ASSERT_EQ(response.commands.size(), 1U) << "no command to start j-3";
+  EXPECT_EQ(response.commands.front().kind, CommandKind::kRun);
+  EXPECT_EQ(response.commands.front().task, TaskOf("j-3"));
 }
 
 // Each write in turn, by the leader, a submission, a cancellation or an election, commits 2 to 12 s
--- a/tests/quick_restart_test.cc
+++ b/tests/quick_restart_test.cc
@@ -279,6 +279,8 @@
   EXPECT_EQ(controller.core.GetJobProgress({"j-1"})->running, 2U);
 }
 
+#ifdef MAGPIE_SAFETY_CHECK_SWITCHES  // direct commands start tasks: direct_start_main.cc
+
 // A copy of a `run` command from before the restart arrives at a worker that has lost its state and
 // so does not reject it. The task stays bound to the machine until the worker has seen a higher
 // token.
@@ -313,6 +315,8 @@
   EXPECT_EQ(CountLiveTasks(), 6U);
 }
 
+#endif
+
 // The other kind of restart that the protocol allows: the worker keeps its sequence numbers and its
 // token but loses its tasks.
 TEST_F(QuickRestartTest, MachineWithKeptSequenceNumbersRunsTasksAgain) {
--- a/tests/repeated_command_test.cc
+++ b/tests/repeated_command_test.cc
@@ -2,6 +2,7 @@
 // must start no attempt that the leader has given up since.
 #include <gtest/gtest.h>
 
+#include "model/safety_checks.h"
 #include "test_cluster.h"
 
 namespace magpie::testing {
@@ -9,22 +10,27 @@
 
 class RepeatedCommandTest : public ClusterTest {
  protected:
-  // Starts a one-task job by a direct command to the only worker, then adds a second worker
-  // in another zone.
+  // Starts a one-task job on the only worker by a direct command, or by the response to a heartbeat
+  // that a direct command requests, then adds a second worker in another zone.
   void StartByDirectCommand(TestController& controller, const JobSpec& spec) {
+    Heartbeat(controller, first);
+    Heartbeat(controller, first);
+    AdvanceTime(DefaultOptions().lease.value);  // so that a heartbeat can be requested
     Heartbeat(controller, first);
     Run(controller, spec);
     controller.core.Tick(now, wall);
     while (controller.WriteOnce(now)) {
     }
     DeliverDirectCommands(controller);
+    if (!IsDisabled(SafetyCheck::kStartOnlyInResponse)) Heartbeat(controller, first);
+    Heartbeat(controller, first);
     ASSERT_TRUE(first.HasLiveTask(task));
     ASSERT_FALSE(answered_commands.empty());
     AddWorker("m-2", "small", "b");
     Heartbeat(controller, workers_.back());
   }
 
-  // Delivers a copy of the command that started the task.
+  // Delivers a copy of the first direct command.
   void RepeatStart() { first.Deliver(answered_commands.front()); }
 
   void ExpectRunsOnlyOnSecondWorker() {
--- a/tests/safety_check_test.cc
+++ b/tests/safety_check_test.cc
@@ -65,15 +65,16 @@
 struct DisabledCheck {
   const char* name;
   SafetyCheck check;
-  SafetyCheck covered_by = SafetyCheck::kNone;  // disabled too, since it makes up for `check`
+  SafetyChecks covered_by{};  // disabled too, since they make up for `check`
   std::uint64_t first_seed = 1;
 };
 
 // Whether the seed violates an invariant because the row's check is disabled.
 bool IsDetected(const DisabledCheck& row, std::uint64_t seed) {
-  if (row.covered_by == SafetyCheck::kNone) return !ViolationsWithout({row.check}, seed).empty();
-  return ViolationsWithout({row.covered_by}, seed).empty() &&
-         !ViolationsWithout({row.check, row.covered_by}, seed).empty();
+  SafetyChecks checks = row.covered_by;
+  checks.push_back(row.check);
+  return (row.covered_by.empty() || ViolationsWithout(row.covered_by, seed).empty()) &&
+         !ViolationsWithout(checks, seed).empty();
 }
 
 std::ostream& operator<<(std::ostream& out, const DisabledCheck& row) { return out << row.name; }
@@ -92,25 +93,33 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Checks, DisabledSafetyCheckTest,
-    ::testing::Values(DisabledCheck{"PageCondition", SafetyCheck::kPageCondition},
-                      DisabledCheck{"SubmitCondition", SafetyCheck::kSubmitCondition},
-                      DisabledCheck{"FinalAfterUnbound", SafetyCheck::kFinalAfterUnbound},
-                      DisabledCheck{"ResultOnlyIfUnbound", SafetyCheck::kResultOnlyIfUnbound},
-                      DisabledCheck{"AllControllersAcknowledged",
-                                    SafetyCheck::kAllControllersAcknowledged, SafetyCheck::kNone,
-                                    551},
-                      DisabledCheck{"CancelCondition", SafetyCheck::kCancelCondition},
-                      DisabledCheck{"ReadAfterRequest", SafetyCheck::kReadAfterRequest},
-                      DisabledCheck{"LiveBeforeFinal", SafetyCheck::kLiveBeforeFinal},
-                      DisabledCheck{"StartOnlyDurable", SafetyCheck::kStartOnlyDurable},
-                      DisabledCheck{"QuotaBeforeStart", SafetyCheck::kQuotaBeforeStart},
-                      DisabledCheck{"ReadLatestRecord", SafetyCheck::kReadLatestRecord},
-                      DisabledCheck{"FencingTokenSeen", SafetyCheck::kFencingTokenSeen},
-                      DisabledCheck{"RaiseAfterNoAnswer", SafetyCheck::kRaiseAfterNoAnswer,
-                                    SafetyCheck::kRaiseWhenUnbound},
-                      DisabledCheck{"RaiseWhenUnbound", SafetyCheck::kRaiseWhenUnbound},
-                      DisabledCheck{"HeartbeatOrder", SafetyCheck::kHeartbeatOrder},
-                      DisabledCheck{"EndBeforeThisEpoch", SafetyCheck::kEndBeforeThisEpoch}),
+    ::testing::Values(
+        DisabledCheck{"PageCondition", SafetyCheck::kPageCondition},
+        DisabledCheck{"SubmitCondition", SafetyCheck::kSubmitCondition},
+        DisabledCheck{"FinalAfterUnbound", SafetyCheck::kFinalAfterUnbound},
+        DisabledCheck{"ResultOnlyIfUnbound", SafetyCheck::kResultOnlyIfUnbound},
+        DisabledCheck{
+            "AllControllersAcknowledged", SafetyCheck::kAllControllersAcknowledged, {}, 631},
+        DisabledCheck{"CancelCondition", SafetyCheck::kCancelCondition},
+        DisabledCheck{"ReadAfterRequest", SafetyCheck::kReadAfterRequest},
+        DisabledCheck{"LiveBeforeFinal", SafetyCheck::kLiveBeforeFinal},
+        DisabledCheck{"StartOnlyDurable", SafetyCheck::kStartOnlyDurable},
+        DisabledCheck{"QuotaBeforeStart", SafetyCheck::kQuotaBeforeStart},
+        DisabledCheck{"ReadLatestRecord", SafetyCheck::kReadLatestRecord},
+        DisabledCheck{"FencingTokenSeen",
+                      SafetyCheck::kFencingTokenSeen,
+                      {SafetyCheck::kStartOnlyInResponse},
+                      101},
+        DisabledCheck{"StartOnlyInResponse", SafetyCheck::kStartOnlyInResponse},
+        DisabledCheck{"RaiseAfterNoAnswer",
+                      SafetyCheck::kRaiseAfterNoAnswer,
+                      {SafetyCheck::kStartOnlyInResponse, SafetyCheck::kRaiseWhenUnbound}},
+        DisabledCheck{"RaiseWhenUnbound",
+                      SafetyCheck::kRaiseWhenUnbound,
+                      {SafetyCheck::kStartOnlyInResponse}},
+        DisabledCheck{
+            "HeartbeatOrder", SafetyCheck::kHeartbeatOrder, {SafetyCheck::kStartOnlyInResponse}},
+        DisabledCheck{"EndBeforeThisEpoch", SafetyCheck::kEndBeforeThisEpoch, {}, 61}),
     [](const auto& info) { return std::string(info.param.name); });
 
 }  // namespace
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -128,6 +128,7 @@
     job.checkpoint_interval = {10};
     Run(controller, job);
   }
+  Settle(controller);
   for (int i = 0; i < 20; ++i) {  // 80 s; the tasks' estimate is 30 s
     Settle(controller, 1);
     AdvanceTime(4);
--- a/tests/seed_run.cc
+++ b/tests/seed_run.cc
@@ -102,8 +102,10 @@
     ScheduleWithinOneSecond([=, this, job = chosen->first] { Submit(job); });
   }
   if (random_.Chance(0.05))
-    ScheduleWithinOneSecond(
-        [this] { cluster_.SubmitInvalidConcurrently(random_.Below(5), random_.Pick(labels_)); });
+    ScheduleWithinOneSecond([this] {
+      const int kind = random_.Below(5);
+      cluster_.SubmitInvalidConcurrently(kind, random_.Pick(labels_));
+    });
   if (!cluster_.store.outage && random_.Chance(0.06)) {
     RecordFault("late writes");
     cluster_.store.next_commit =
--- a/tests/seed_run.h
+++ b/tests/seed_run.h
@@ -49,6 +49,7 @@
                             const std::string& b);
   void RestartController(Seconds from, Seconds downtime, const std::string& label);
   void RestartLeader(Seconds from);
+  void RestartLeader(Seconds from, std::function<Seconds()> draw_downtime);
   void RefuseLeaderStoreCalls(Seconds from, Seconds length);
   void PauseController(Seconds from, Seconds length, const std::string& label);
   void DelayCommands(Seconds from, Seconds length, double max_delay);
@@ -100,6 +101,15 @@
   // restart, with or without their state.
   void RepeatCommandsWhileProcessesRestart();
 
+  // Machines lose their state while nobody leads, and answered commands arrive there once more.
+  void RestartWorkersDuringElection();
+
+  // Copies of heartbeats arrive while preemption notices move tasks between machines.
+  void RepeatHeartbeatsDuringPreemptionNotices();
+
+  // Writes commit late, some of them after the leader has changed.
+  void DelayWritesWhileLeadersChange();
+
   // Tasks fail shortly after their start, while commands are delayed for up to 5 s.
   void FailTasksQuickly();
 
--- a/tests/seed_run_combinations.cc
+++ b/tests/seed_run_combinations.cc
@@ -22,9 +22,11 @@
     case 6:
       RestartWorkers();
       break;
-    case 4:
-      PartitionZone(random_.Duration(2, 25), random_.Duration(25, 70));
+    case 4: {
+      const Seconds start = random_.Duration(2, 25);
+      PartitionZone(start, random_.Duration(25, 70));
       break;
+    }
     case 0:
       RefuseLeaderThenStartOutage();
       break;
@@ -45,9 +47,61 @@
   for (int i = random_.Between(1, 5); i > 0; --i) ScheduleRandomFault();
   // Drawn last, so that the other faults of a seed do not depend on it.
   if (random_.Chance(0.2)) RepeatCommandsWhileProcessesRestart();
-  if (random_.Chance(0.1))
-    RepeatCommands(random_.Duration(0, 60), random_.Duration(5, 60),
-                   random_.Duration(0.1, 0.6).value);
+  if (random_.Chance(0.1)) {
+    const Seconds start = random_.Duration(0, 60);
+    const Seconds length = random_.Duration(5, 60);
+    RepeatCommands(start, length, random_.Duration(0.1, 0.6).value);
+  }
+  if (random_.Chance(0.2)) RestartWorkersDuringElection();
+  if (random_.Chance(0.2)) RepeatHeartbeatsDuringPreemptionNotices();
+  if (random_.Chance(0.2)) DelayWritesWhileLeadersChange();
+}
+
+void SeedRun::RestartWorkersDuringElection() {
+  RecordFault("worker restart during election");
+  task_failure_rate_ = std::max(task_failure_rate_, 0.3);
+  RepeatCommands({}, {90}, 1);
+  Seconds start = random_.Duration(5, 15);
+  for (int round = 0; round < 4; ++round) {
+    RestartLeader(start, [] { return kTestLeaderLease; });
+    for (Machine& machine : cluster_.machines)
+      if (random_.Chance(0.7)) {
+        const Seconds delay = random_.Duration(0, 1);
+        RestartWorker(start + delay, machine, true);
+      }
+    start = start + random_.Duration(12, 22);
+  }
+}
+
+void SeedRun::RepeatHeartbeatsDuringPreemptionNotices() {
+  const Seconds start = random_.Duration(2, 15);
+  RepeatHeartbeats(start, {60});
+  for (Machine& machine : cluster_.machines)
+    for (int notices = 2; notices > 0; --notices)
+      if (random_.Chance(0.7)) {
+        const Seconds delay = random_.Duration(5, 60);
+        SendPreemptionNotice(start + delay, machine);
+      }
+}
+
+void SeedRun::DelayWritesWhileLeadersChange() {
+  RecordFault("late writes");
+  const Seconds start = random_.Duration(2, 15);
+  for (int i = 0; i < 20; ++i) {
+    const Seconds delay = random_.Duration(0, 60);
+    const Seconds lag = random_.Duration(2, 12);
+    InjectAfter(start + delay, "the next write commits late", [this, lag] {
+      if (cluster_.store.outage) return;
+      cluster_.store.next_commit = FakeStore::Fault::kCommitLate;
+      cluster_.ScheduleAfter(lag, [this] {
+        if (cluster_.store.has_delayed_transactions()) cluster_.store.DeliverDelayed();
+      });
+    });
+  }
+  for (int i = 0; i < 4; ++i) {
+    const Seconds delay = random_.Duration(0, 60);
+    RestartLeader(start + delay);
+  }
 }
 
 void SeedRun::RepeatCommandsWhileProcessesRestart() {
@@ -55,8 +109,11 @@
   task_failure_rate_ = std::max(task_failure_rate_, random_.Chance(0.5) ? 0.03 : 0.1);
   RepeatCommands(start, random_.Duration(20, 60), 0.4);
   for (int i = random_.Below(4); i > 0; --i) RestartLeader(start + random_.Duration(1, 60));
-  for (int i = random_.Below(3); i > 0; --i)
-    RestartWorker(start + random_.Duration(1, 60), RandomMachine(), random_.Chance(0.5));
+  for (int i = random_.Below(3); i > 0; --i) {
+    const Seconds delay = random_.Duration(1, 60);
+    Machine& machine = RandomMachine();
+    RestartWorker(start + delay, machine, random_.Chance(0.5));
+  }
 }
 
 void SeedRun::RefuseLeaderThenStartOutage() {
@@ -64,16 +121,19 @@
   const std::string leader = cluster_.Leader();
   if (leader.empty()) return;
   RefuseStoreCalls(start, random_.Duration(20, 80), leader);
-  ScheduleOutage(start + random_.Duration(0.2, 6), random_.Duration(31, 65));
+  const Seconds delay = random_.Duration(0.2, 6);
+  ScheduleOutage(start + delay, random_.Duration(31, 65));
   if (random_.Chance(0.4))
     for (const std::string& other : labels_)
       if (other != leader && random_.Chance(0.7)) {
         PartitionControllers(start, {70}, leader, other);
         if (random_.Chance(0.7)) PartitionControllers(start, {70}, other, leader);
       }
-  if (random_.Chance(0.5))
-    RestartController(start + random_.Duration(1, 7), random_.Duration(0, 4),
-                      random_.Pick(labels_));
+  if (random_.Chance(0.5)) {
+    const Seconds crash = start + random_.Duration(1, 7);
+    const Seconds downtime = random_.Duration(0, 4);
+    RestartController(crash, downtime, random_.Pick(labels_));
+  }
 }
 
 void SeedRun::LoseLeasesThenSendStaleHeartbeats() {
@@ -87,9 +147,10 @@
     if (random_.Chance(0.6)) {
       Disconnect(start, reconnect - start, machine, disconnection);
       // Disconnects it again, so that it receives nothing from the next leader.
-      if (random_.Chance(0.7))
-        Disconnect(end - random_.Duration(0, 0.5), random_.Duration(5, 14), machine,
-                   Disconnection::kReceivesNothing);
+      if (random_.Chance(0.7)) {
+        const Seconds from = end - random_.Duration(0, 0.5);
+        Disconnect(from, random_.Duration(5, 14), machine, Disconnection::kReceivesNothing);
+      }
     }
   DelayCommands(reconnect - Seconds{0.5}, {8}, 30);
   RestartLeader(end);
@@ -114,11 +175,13 @@
   RecordFault("leaders restart");
   const Seconds start = random_.Duration(0, 20);
   task_failure_rate_ = 0.06;
-  DelayCommands(start, random_.Duration(10, 40), random_.Chance(0.5) ? 10 : 60);
+  const Seconds length = random_.Duration(10, 40);
+  DelayCommands(start, length, random_.Chance(0.5) ? 10 : 60);
   for (Machine& machine : cluster_.machines)
-    if (random_.Chance(0.5))
-      Disconnect(start + random_.Duration(0, 10), random_.Duration(3, 30), machine,
-                 Disconnection::kReceivesNothing);
+    if (random_.Chance(0.5)) {
+      const Seconds delay = random_.Duration(0, 10);
+      Disconnect(start + delay, random_.Duration(3, 30), machine, Disconnection::kReceivesNothing);
+    }
   for (int i = 0; i < 4; ++i) RestartLeader(start + random_.Duration(0, 40));
 }
 
@@ -138,8 +201,10 @@
   task_failure_rate_ = 0.1;
   for (int round = 0; round < 2; ++round)
     for (Machine& machine : cluster_.machines)
-      if (random_.Chance(0.6))
-        RestartWorker(start + random_.Duration(0, 25), machine, random_.Chance(0.7));
+      if (random_.Chance(0.6)) {
+        const Seconds delay = random_.Duration(0, 25);
+        RestartWorker(start + delay, machine, random_.Chance(0.7));
+      }
 }
 
 void SeedRun::DeposeLeaderKeepingWorkers() {
@@ -154,12 +219,14 @@
       if (random_.Chance(0.8))
         machine.destination = static_cast<std::size_t>(leader - labels_.begin());
   });
-  RefuseLeaderStoreCalls(start + random_.Duration(1, 4), random_.Duration(15, 40));
+  const Seconds delay = random_.Duration(1, 4);
+  RefuseLeaderStoreCalls(start + delay, random_.Duration(15, 40));
   for (Machine& machine : cluster_.machines) {
     if (random_.Chance(0.4)) SendPreemptionNotice(start + random_.Duration(3, 16), machine);
-    if (random_.Chance(0.4))
-      Disconnect(start + random_.Duration(0, 3), random_.Duration(3, 9), machine,
-                 Disconnection::kSendsNothing);
+    if (random_.Chance(0.4)) {
+      const Seconds from = start + random_.Duration(0, 3);
+      Disconnect(from, random_.Duration(3, 9), machine, Disconnection::kSendsNothing);
+    }
   }
 }
 
@@ -204,8 +271,10 @@
       PartitionControllers(from + random_.Duration(0, 4), length, inside_controller, other);
       PartitionControllers(from + random_.Duration(0, 4), length, other, inside_controller);
     }
-  if (random_.Chance(0.5))
-    RestartController(from + random_.Duration(-1, 6), random_.Duration(0, 1), inside_controller);
+  if (random_.Chance(0.5)) {
+    const Seconds crash = from + random_.Duration(-1, 6);
+    RestartController(crash, random_.Duration(0, 1), inside_controller);
+  }
   InjectAfter(from + length, "partition of zone " + zone + " ends", [this] {
     for (Machine& machine : cluster_.machines) machine.only_reachable_from.clear();
   });
@@ -276,8 +345,11 @@
       return PartitionZone(start, random_.Duration(25, 70));
     default:
       RecordFault("pauses");
-      for (int k = 0; k < 5; ++k)
-        PauseController(random_.Duration(0, 90), random_.Duration(0.2, 8), random_.Pick(labels_));
+      for (int k = 0; k < 5; ++k) {
+        const Seconds pause = random_.Duration(0, 90);
+        const Seconds pause_length = random_.Duration(0.2, 8);
+        PauseController(pause, pause_length, random_.Pick(labels_));
+      }
       return;
   }
 }
--- a/tests/seed_run_faults.cc
+++ b/tests/seed_run_faults.cc
@@ -18,8 +18,10 @@
   }
   if (write && random_.Chance(lost_response_rate_)) {
     fault.response_lost = true;
-    if (random_.Chance(0.15))
-      RefuseStoreCalls(random_.Duration(0, 1), random_.Duration(5, 20), label);
+    if (random_.Chance(0.15)) {
+      const Seconds from = random_.Duration(0, 1);
+      RefuseStoreCalls(from, random_.Duration(5, 20), label);
+    }
   }
   return fault;
 }
@@ -69,12 +71,15 @@
 }
 
 void SeedRun::RestartLeader(Seconds from) {
-  InjectAfter(from, "leader crashes and restarts", [this] {
+  RestartLeader(from, [this] { return random_.Chance(0.6) ? Seconds{0} : random_.Duration(0, 6); });
+}
+
+void SeedRun::RestartLeader(Seconds from, std::function<Seconds()> draw_downtime) {
+  InjectAfter(from, "leader crashes and restarts", [this, draw = std::move(draw_downtime)] {
     const std::string leader = cluster_.Leader();
     if (leader.empty()) return;
     cluster_.StopController(leader);
-    const Seconds downtime = random_.Chance(0.6) ? Seconds{0} : random_.Duration(0, 6);
-    cluster_.ScheduleAfter(downtime, [=, this] {
+    cluster_.ScheduleAfter(draw(), [=, this] {
       if (!cluster_.controllers.contains(leader)) cluster_.StartController(leader);
     });
   });
@@ -123,7 +128,8 @@
   InjectAfter(from, "heartbeats are duplicated", [this] {
     cluster_.repeat_heartbeat = [this]() -> std::optional<std::pair<Instant, std::string>> {
       if (!random_.Chance(0.3)) return std::nullopt;
-      return std::pair(cluster_.now + random_.Duration(2, 60), random_.Pick(labels_));
+      const Instant arrival = cluster_.now + random_.Duration(2, 60);
+      return std::pair(arrival, random_.Pick(labels_));
     };
   });
   InjectAfter(from + length, "heartbeats are no longer duplicated",
@@ -244,9 +250,11 @@
 
 void SeedRun::RestartAllControllers(Seconds from) {
   RecordFault("all controllers crash");
-  for (const std::string& label : labels_)
-    RestartController(from + random_.Duration(0, 2),
-                      random_.Chance(0.3) ? 1.3 * kTestLease : random_.Duration(0, 7), label);
+  for (const std::string& label : labels_) {
+    const Seconds delay = random_.Duration(0, 2);
+    const Seconds downtime = random_.Chance(0.3) ? 1.3 * kTestLease : random_.Duration(0, 7);
+    RestartController(from + delay, downtime, label);
+  }
 }
 
 void SeedRun::SlowHeartbeats(Seconds from, Seconds length, Machine& machine) {
--- a/tests/simulated_cluster.h
+++ b/tests/simulated_cluster.h
@@ -174,8 +174,7 @@
   // Delivers the direct command at `arrival`, whether or not its sender still exists. Nobody
   // receives its answer.
   void DeliverCommandAt(Instant arrival, const magpie::DirectCommand& direct_command);
-  // Delivers a delayed direct command. Drops it if the worker lost its fencing token and has not
-  // received a new one: such commands cannot be fenced (design.md, "Quick restarts").
+  // Delivers a delayed direct command, also to a worker that has lost its token.
   void DeliverCommand(const magpie::DirectCommand& direct_command);
   std::size_t LiveTasks(const std::string& job) const;
   int LeasesLost() const;
--- a/tests/simulated_cluster_workers.cc
+++ b/tests/simulated_cluster_workers.cc
@@ -41,9 +41,7 @@
 
 void SimulatedCluster::DeliverCommand(const magpie::DirectCommand& direct_command) {
   Machine* machine = Find(direct_command.machine);
-  if (machine == nullptr || machine->removed ||
-      (machine->lost_state && machine->worker.token() == FencingToken{}))
-    return;
+  if (machine == nullptr || machine->removed) return;
   if (!machine->CanReceive()) {
     // Retries until the machine is reachable. The number of retries is limited because a seed ends
     // after minutes of virtual time.
--- a/tests/stale_heartbeat_test.cc
+++ b/tests/stale_heartbeat_test.cc
@@ -27,6 +27,8 @@
   FakeWorker* worker = nullptr;
 };
 
+#ifdef MAGPIE_SAFETY_CHECK_SWITCHES  // direct commands start tasks: direct_start_main.cc
+
 // The new leader first receives a copy of a heartbeat of an earlier agent epoch, then a heartbeat
 // of the current one. In an earlier version, the new leader treated the new agent epoch as proof
 // that no command of an earlier leader could start a task on the machine, but a command of the
@@ -60,6 +62,8 @@
   EXPECT_EQ(CountLiveTasks(), 1U);
 }
 
+#endif
+
 // An attempt ends and the worker removes it on a forget command, but the leader fails before the
 // end is durable. The next leader starts the same attempt again. A third leader first receives a
 // copy of the heartbeat that lists the attempt as ended.
--- a/tests/takeover_test.cc
+++ b/tests/takeover_test.cc
@@ -143,6 +143,8 @@
   EXPECT_FALSE(old_leader.core.OnHeartbeat(worker.Snapshot(), now).accepted);
 }
 
+#ifdef MAGPIE_SAFETY_CHECK_SWITCHES  // direct commands start tasks: direct_start_main.cc
+
 TEST_F(TakeoverTest, DelayedStartByFormerLeaderIsRejected) {
   TestController& old_leader = AddController("n0");
   FakeWorker& worker = AddWorker("m-1");
@@ -213,6 +215,8 @@
   EXPECT_EQ(node.State("j-1"), "withdrawn");
 }
 
+#endif
+
 class LostWriteAnswerTest : public ClusterTest {};
 
 TEST_F(LostWriteAnswerTest, UnansweredWriteIsAppliedOnce) {
