--- a/tests/start_delivery_test.cc
+++ b/tests/start_delivery_test.cc
@@ -151,6 +151,30 @@
   }
 }
 
+// Guards against starts that wait for a heartbeat beside a machine on which they need not.
+TEST_F(StartDeliveryTest, TaskIsPlacedWhereHeartbeatCanBeRequested) {
+  for (const bool first_is_askable : {true, false}) {
+    store = FakeStore{};
+    controllers_.clear();
+    workers_.clear();
+    FakeWorker& first = AddWorker("m-1");
+    FakeWorker& second = AddWorker("m-2");
+    FakeWorker& askable = first_is_askable ? first : second;
+    FakeWorker& other = first_is_askable ? second : first;
+    TestController& controller = AddController("n0");
+    ASSERT_TRUE(controller.TakeOver(now));
+    Heartbeat(controller, askable);
+    Heartbeat(controller, askable);
+    AdvanceTime(DefaultOptions().lease.value);
+    Heartbeat(controller, askable);
+    Heartbeat(controller, other);  // has just sent one for its first token
+    Heartbeat(controller, other);
+    Run(controller, MakeJob("j-1"));
+    Settle(controller);
+    EXPECT_TRUE(askable.HasLiveTask(TaskOf("j-1")));
+  }
+}
+
 class DelayedResponseTest : public StartDeliveryTest {
  protected:
   // The commands of the response to the worker's next heartbeat. `on_wait` is called while the
@@ -230,6 +254,22 @@
   EXPECT_EQ(waits, 0) << "too many responses are delayed";
 }
 
+// The worker has just sent a heartbeat for its first token, so that none can be requested.
+TEST_F(DelayedResponseTest, WaitsForTaskIfHeartbeatCannotBeRequested) {
+  TestController& controller = AddController("n0");
+  ASSERT_TRUE(controller.TakeOver(now));
+  Heartbeat(controller, worker);
+  Heartbeat(controller, worker);
+  controller.core.Tick(now, wall);
+  const auto commands = CommandsAfter(controller, 1, [&] {
+    if (waits == 3) Run(controller, MakeJob("j-1"));
+    BindPending(controller);
+  });
+  EXPECT_TRUE(HasStart(commands));
+  EXPECT_EQ(waits, 3);
+  EXPECT_LE(longest_wait.value, 2.5);
+}
+
 // Guards against a start by a leader that was deposed while it delayed the response.
 TEST_F(DelayedResponseTest, HasNoCommandsOnceTermHasEnded) {
   TestController& controller = LeaderWithWorker();
