No heartbeat is requested while a response waits for the task that it starts

Cause: when a binding became durable, the command thread and the delayed response were woken together, and the thread requested a heartbeat first.

Change: Machine::response_delayed.

--- a/src/controller/heartbeat_handler.cc
+++ b/src/controller/heartbeat_handler.cc
@@ -100,6 +100,7 @@
       scheduler_.MaxResponseDelay(machine, response.capacity_freed, hooks_.now()).value <= 0)
     return true;
   const FencingToken term = scheduler_.term_token();
+  scheduler_.DelayResponse(machine);
   ++delayed_responses_;
   WaitWhileStartsExpected(lock, machine, response.capacity_freed);
   --delayed_responses_;
--- a/src/scheduling/command_dispatcher.cc
+++ b/src/scheduling/command_dispatcher.cc
@@ -53,9 +53,10 @@
   return direct_command;
 }
 
-// A worker that is receiving a response with starts sends a heartbeat by itself.
+// A delayed response will start the tasks, and a worker that is receiving a response with starts
+// sends a heartbeat by itself.
 std::optional<DirectCommand> CommandDispatcher::HeartbeatRequestFor(Machine& machine, Instant now) {
-  if (machine.response_in_flight || !NeedsHeartbeatNow(machine) ||
+  if (machine.response_in_flight || machine.response_delayed || !NeedsHeartbeatNow(machine) ||
       !AnswersTokenRaise(machine, state_.options.lease, now))
     return std::nullopt;
   machine.token = {machine.token.value + 1};
--- a/src/scheduling/heartbeat_processor.cc
+++ b/src/scheduling/heartbeat_processor.cc
@@ -105,9 +105,16 @@
   return type.capacity.cpus - machine.used.cpus >= kMinFreeCpus;
 }
 
+void HeartbeatProcessor::DelayResponse(const MachineId& id) {
+  if (Machine* machine = state_.machines.Find(id)) machine->response_delayed = true;
+}
+
 void HeartbeatProcessor::UpdateResponse(const MachineId& id, HeartbeatResponse& response) {
   response.commands.clear();
-  if (Machine* machine = state_.machines.Find(id)) AddCommands(*machine, response);
+  Machine* machine = state_.machines.Find(id);
+  if (machine == nullptr) return;
+  machine->response_delayed = false;
+  AddCommands(*machine, response);
 }
 
 void HeartbeatProcessor::Buffer(const Heartbeat& heartbeat) {
--- a/src/scheduling/heartbeat_processor.h
+++ b/src/scheduling/heartbeat_processor.h
@@ -39,6 +39,9 @@
   // if it must be sent now. `awaits_planning`: the next planning round may bind a task to the
   // machine.
   Seconds MaxResponseDelay(const MachineId& id, bool awaits_planning, Instant now) const;
+  // Records that the response to the machine's heartbeat is delayed, until UpdateResponse is
+  // called.
+  void DelayResponse(const MachineId& id);
   // Replaces the commands and the token of a response that was not sent at once. The response then
   // has no commands if the machine has been released.
   void UpdateResponse(const MachineId& id, HeartbeatResponse& response);
--- a/src/scheduling/machine_state.h
+++ b/src/scheduling/machine_state.h
@@ -76,6 +76,7 @@
   bool command_in_flight = false;
   bool command_deferred = false;    // commands are pending until one can be sent
   bool response_in_flight = false;  // a heartbeat response with a `run` may still be in flight
+  bool response_delayed = false;    // a heartbeat's response waits for tasks that it can start
   Instant next_command_at;
   // When the worker last sent a heartbeat because of a higher token: see heartbeat_request.h.
   std::optional<Instant> token_raise_answered_at;
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -115,6 +115,9 @@
   Seconds MaxResponseDelay(const MachineId& machine, bool awaits_planning, Instant now) const {
     return heartbeats_.MaxResponseDelay(machine, awaits_planning, now);
   }
+  // Records that the response to the machine's heartbeat is delayed, until UpdateResponse is
+  // called: no heartbeat is requested meanwhile.
+  void DelayResponse(const MachineId& machine) { heartbeats_.DelayResponse(machine); }
   // Replaces the commands and the token of a response that was not sent at once. Must be called in
   // the term in which the response was made.
   void UpdateResponse(const MachineId& machine, HeartbeatResponse& response) {
--- a/tests/start_delivery_test.cc
+++ b/tests/start_delivery_test.cc
@@ -216,6 +216,7 @@
   const auto commands = CommandsAfter(controller, 1, [&] {
     while (controller.WriteOnce(now)) {
     }
+    EXPECT_FALSE(controller.core.NextDirectCommand(now)) << "the response starts the task";
   });
   EXPECT_TRUE(HasStart(commands));
   EXPECT_EQ(waits, 1);
